--- a/benchmarks/Reducer_benchmark.cpp
+++ b/benchmarks/Reducer_benchmark.cpp
@@ -1,7 +1,7 @@
 /*  What one event costs the reducer, against the number of members and of calls in flight. */
 
-#include "plankledge_platform/DeclarationsJson.h"
-#include "plankledge_platform/PlatformJson.h"
+#include "plankledge_formats/DeclarationsJson.h"
+#include "plankledge_formats/PlatformJson.h"
 #include "plankledge_policy/Reducer.h"
 #include <benchmark/benchmark.h>
 #include <cstdlib>
--- a/modules/plankledge_core/Outcome.cpp
+++ b/modules/plankledge_core/Outcome.cpp
@@ -39,6 +39,10 @@
     "record-expired",
     "records-full",
     "already-running-elsewhere",
+    "no-route",
+    "target-not-ready",
+    "stale-after-pause",
+    "target-failed",
 };
 
 static_assert (! reasonNames.back().empty(), "every reason has a name");
@@ -101,6 +105,7 @@
         return 400;
     case Reason::unknownService:
     case Reason::unknownOperation:
+    case Reason::noRoute:
         return 404;
     case Reason::requestTooLarge:
         return 413;
@@ -121,6 +126,7 @@
     case Reason::missingIdempotencyKey:
     case Reason::unknownService:
     case Reason::unknownOperation:
+    case Reason::noRoute:
     case Reason::requestTooLarge:
     case Reason::keyReusedWithOtherBody:
     case Reason::recordExpired:
--- a/modules/plankledge_core/Outcome.h
+++ b/modules/plankledge_core/Outcome.h
@@ -50,6 +50,10 @@
     recordExpired,
     recordsFull,
     alreadyRunningElsewhere,
+    noRoute,
+    targetNotReady,
+    staleAfterPause,
+    targetFailed,
     reasonCount
 };
 
--- a/modules/plankledge_core/PeerMessages.h
+++ b/modules/plankledge_core/PeerMessages.h
@@ -2,7 +2,9 @@
 
 #include "plankledge_core/Declarations.h"
 #include "plankledge_core/Identity.h"
+#include "plankledge_core/Member.h"
 #include "plankledge_core/Outcome.h"
+#include "plankledge_core/RelayMessages.h"
 #include "plankledge_core/Time.h"
 #include <string>
 #include <variant>
@@ -26,32 +28,6 @@
 inline constexpr Rank admitAll = static_cast<Rank> (priorityClassCount * cohortsPerClass);
 
 //==============================================================================
-enum class MemberState : std::uint8_t
-{
-    joining, /**< serves repeatable work only */
-    serving,
-    leaving /**< takes no new work */
-};
-
-/** A node as others know it. */
-struct Member
-{
-    NodeId m_id;
-    ServiceName m_service;
-    ZoneName m_zone;
-    Endpoint m_endpoint;
-    MemberState m_state = MemberState::joining;
-    std::uint32_t m_stateVersion =
-        0; /**< counts the member's own changes of state; the higher is the newer */
-
-    auto operator<=> (const Member&) const = default;
-
-    template <class Archive> void serialize (Archive& archive)
-    {
-        archive (m_id, m_service, m_zone, m_endpoint, m_state, m_stateVersion);
-    }
-};
-
 /** A life that ended with its records: what it ran before then can't be known. */
 struct LostMemory
 {
@@ -332,9 +308,11 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_version, m_asOfOffset, m_text); }
 };
 
-using PeerMessage = std::variant<CallRequest, CallAnswer, CallCancel, Inquiry, InquiryAnswer, JoinRequest,
-                                 JoinAcknowledgement, Heartbeat, Handover, HandoverAcknowledgement,
-                                 LeaveNotice, LeaveAcknowledgement, ConfigurationPull, ConfigurationState>;
+using PeerMessage =
+    std::variant<CallRequest, CallAnswer, CallCancel, Inquiry, InquiryAnswer, JoinRequest,
+                 JoinAcknowledgement, Heartbeat, Handover, HandoverAcknowledgement, LeaveNotice,
+                 LeaveAcknowledgement, ConfigurationPull, ConfigurationState, RelayRequest, RelayAnswer,
+                 RelayCancel, PeerHello, PeerStatus, RoutesPull, RoutesText>;
 
 //==============================================================================
 /** A UDP datagram: who the sender is, what it has in force, and a few members it heard of lately. */
--- /dev/null
+++ b/modules/plankledge_core/RelayMessages.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include "plankledge_core/Declarations.h"
+#include "plankledge_core/Identity.h"
+#include "plankledge_core/Member.h"
+#include "plankledge_core/Outcome.h"
+#include "plankledge_core/Time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+/**
+    What nodes say to each other about relayed requests: those whose sender gives each
+    of its attempts an id of its own, so that no record is needed to run them once.
+
+    @see PeerMessage
+*/
+namespace plankledge
+{
+
+/** End-to-end header names and values in their order. */
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+/** The operators' name of a route. */
+using RouteName = std::string;
+
+/** Names one life of a target; a restarted target has another. */
+using TargetId = std::string;
+
+//==============================================================================
+/** A request as it passes unchanged from its sender to the target. */
+struct RelayContent
+{
+    std::string m_id; /**< the sender's own id of this attempt */
+    std::string m_method;
+    std::string m_path; /**< with its query */
+    HeaderList m_headers;
+    std::string m_body;
+
+    auto operator<=> (const RelayContent&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_id, m_method, m_path, m_headers, m_body);
+    }
+};
+
+/** A target's whole answer, passed back unchanged. */
+struct RelayedAnswer
+{
+    std::uint16_t m_status = 0;
+    HeaderList m_headers;
+    std::string m_body;
+
+    auto operator<=> (const RelayedAnswer&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_status, m_headers, m_body); }
+};
+
+/** What became of a relayed request, whoever tells it. */
+struct RelayResult
+{
+    Outcome m_outcome = Outcome::unknown;
+    Reason m_reason = Reason::none; /**< why there is no target's answer */
+    RelayedAnswer m_answer;         /**< where the outcome is completed */
+    Duration m_comeBack {};         /**< after a refusal: when to ask again; 0: not said */
+
+    auto operator<=> (const RelayResult&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_outcome, m_reason, m_answer, m_comeBack);
+    }
+};
+
+//==============================================================================
+/** How busy the gate in front of a target is. */
+struct GateStatus
+{
+    bool m_isOpen = false;                /**< takes new work */
+    std::uint32_t m_limit = 0;            /**< requests that the target may run at a time */
+    std::uint32_t m_inGate = 0;           /**< requests that run or wait */
+    Duration m_serviceTime {};            /**< of one request at the target, moving average */
+    std::uint16_t m_failurePermille = 0;  /**< of the target's recent answers */
+    std::uint16_t m_admittedPermille = 0; /**< of the order of refusal, from its most important end */
+
+    auto operator<=> (const GateStatus&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_isOpen, m_limit, m_inGate, m_serviceTime, m_failurePermille, m_admittedPermille);
+    }
+};
+
+/** How often requests of one route make calls on another. */
+struct CallEdge
+{
+    RouteName m_caller;
+    RouteName m_callee;
+    ServiceName m_service;             /**< the callee's */
+    std::uint32_t m_callsPermille = 0; /**< calls for each thousand requests of the caller */
+
+    auto operator<=> (const CallEdge&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_caller, m_callee, m_service, m_callsPermille);
+    }
+};
+
+//==============================================================================
+/** Asks the receiver to run a request at its own target. */
+struct RelayRequest
+{
+    CallId m_callId = 0;
+    RelayContent m_content;
+    ServiceName m_service;       /**< that the target must belong to */
+    ServiceName m_callerService; /**< of the instance where the request began */
+    RouteName m_route;
+    std::uint16_t m_urgency = 0;   /**< the smaller, the sooner run */
+    bool m_isNested = false;       /**< a call made by a target for a request that runs already */
+    Duration m_timeLeft {};        /**< until nobody waits for the answer, when this was sent */
+    Duration m_longestQueueing {}; /**< it is refused rather than kept waiting longer for a slot */
+    Duration m_sentAt {};          /**< by the sender's steady clock; tells how long this was under way */
+
+    auto operator<=> (const RelayRequest&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_callId, m_content, m_service, m_callerService, m_route, m_urgency, m_isNested, m_timeLeft,
+                 m_longestQueueing, m_sentAt);
+    }
+};
+
+/** Answers a RelayRequest. */
+struct RelayAnswer
+{
+    CallId m_callId = 0;
+    RelayResult m_result;
+    GateStatus m_gate;
+
+    auto operator<=> (const RelayAnswer&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_callId, m_result, m_gate); }
+};
+
+/** The sender of a RelayRequest no longer waits. */
+struct RelayCancel
+{
+    CallId m_callId = 0;
+
+    auto operator<=> (const RelayCancel&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_callId); }
+};
+
+/** Says who the sender is, at a fixed period; answered by PeerStatus. */
+struct PeerHello
+{
+    Member m_member;
+    ConfigurationVersion m_version = 0;
+    Duration m_sentAt {}; /**< by the sender's steady clock */
+
+    auto operator<=> (const PeerHello&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_member, m_version, m_sentAt); }
+};
+
+/** What a node's gate and configuration are at; answers PeerHello, and is sent when the gate opens or shuts.
+ */
+struct PeerStatus
+{
+    ConfigurationVersion m_version = 0;
+    GateStatus m_gate;
+    std::vector<CallEdge> m_calls; /**< seen at the own target */
+
+    auto operator<=> (const PeerStatus&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_version, m_gate, m_calls); }
+};
+
+//==============================================================================
+/** Asks for the routes in force at the receiver, if they are newer. */
+struct RoutesPull
+{
+    ConfigurationVersion m_have = 0;
+
+    auto operator<=> (const RoutesPull&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_have); }
+};
+
+/** A version of the routes as its operators wrote it. */
+struct RoutesText
+{
+    std::string m_text;
+
+    auto operator<=> (const RoutesText&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_text); }
+};
+
+} // namespace plankledge
--- a/modules/plankledge_platform/DeclarationsJson.cpp
+++ b/modules/plankledge_formats/DeclarationsJson.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_platform/DeclarationsJson.h"
+#include "plankledge_formats/DeclarationsJson.h"
 
 #include <algorithm>
 #include <array>
--- a/modules/plankledge_platform/PlatformJson.cpp
+++ b/modules/plankledge_formats/PlatformJson.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_platform/PlatformJson.h"
+#include "plankledge_formats/PlatformJson.h"
 
 #include <array>
 #include <boost/json.hpp>
--- a/modules/plankledge_load/LoadRunner.cpp
+++ b/modules/plankledge_load/LoadRunner.cpp
@@ -32,10 +32,11 @@
 {
     for (const auto& [service, endpoints] : entries)
         for (const auto& endpoint : endpoints)
-            m_clients[service].push_back (std::make_unique<TargetClient> (
-                context, endpoint, [this] (CallId call, const TargetClient::Answer& answer) {
-                    onAnswer (static_cast<std::size_t> (call), answer);
-                }));
+            m_clients[service].push_back (
+                { endpoint, std::make_unique<TargetClient> (
+                                context, [this] (CallId call, const TargetClient::Answer& answer) {
+                                    onAnswer (static_cast<std::size_t> (call), answer);
+                                }) });
 }
 
 LoadRunner::~LoadRunner() = default;
@@ -113,7 +114,8 @@
     auto& pending = m_pending[index];
     const auto& group = m_scenario.m_groups[pending.m_result.m_group];
     const auto& clients = m_clients.at (group.m_service);
-    pending.m_client = clients[m_nextEntry++ % clients.size()].get();
+    const auto& entry = clients[m_nextEntry++ % clients.size()];
+    pending.m_client = entry.m_client.get();
     ++pending.m_result.m_sendings;
 
     HttpRequest request;
@@ -129,7 +131,7 @@
     if (group.m_hasKeys)
         request.m_headers.emplace_back ("Idempotency-Key", fmt::format ("{}-{}", m_runId, index));
 
-    pending.m_client->send (index, std::move (request));
+    pending.m_client->send (index, entry.m_endpoint, std::move (request));
 
     // A caller gives up on its own clock, whatever the node does.
     const auto sending = pending.m_result.m_sendings;
--- a/modules/plankledge_load/LoadRunner.h
+++ b/modules/plankledge_load/LoadRunner.h
@@ -53,7 +53,14 @@
 
     boost::asio::io_context& m_context;
     const Scenario& m_scenario;
-    std::map<ServiceName, std::vector<std::unique_ptr<TargetClient>>> m_clients;
+    /** An entry of a service, with a pool of connections of its own. */
+    struct EntryClient
+    {
+        Endpoint m_endpoint;
+        std::unique_ptr<TargetClient> m_client;
+    };
+
+    std::map<ServiceName, std::vector<EntryClient>> m_clients;
     std::vector<Pending> m_pending;
     std::size_t m_open = 0;
     std::size_t m_nextEntry = 0;
--- a/modules/plankledge_operator/Publisher.h
+++ b/modules/plankledge_operator/Publisher.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "plankledge_platform/PlatformJson.h"
-#include "plankledge_policy/ConfigurationJudge.h"
+#include "plankledge_formats/PlatformJson.h"
+#include "plankledge_policy/configuration/ConfigurationJudge.h"
 #include <absl/status/statusor.h>
 #include <functional>
 #include <optional>
--- a/modules/plankledge_operator/plankledge_operator.h
+++ b/modules/plankledge_operator/plankledge_operator.h
@@ -1,7 +1,7 @@
 /*  BEGIN MODULE
     name:          plankledge_operator
     description:   What operators do: publish declarations and read verdicts from the log.
-    dependencies:  plankledge_core, plankledge_policy, plankledge_platform
+    dependencies:  plankledge_core, plankledge_policy, plankledge_formats
     END MODULE */
 
 #pragma once
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -163,8 +163,109 @@
     template <class Archive> void serialize (Archive&) {}
 };
 
+//==============================================================================
+/** Answers a relayed request. */
+struct AnswerRelay
+{
+    Ticket m_ticket = 0;
+    RelayResult m_result;
+    bool m_closes = false; /**< the sender is to take another connection for its next request */
+
+    auto operator<=> (const AnswerRelay&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_ticket, m_result, m_closes); }
+};
+
+/** Sends a relayed request to the own target. */
+struct RelayToTarget
+{
+    CallId m_call = 0;
+    RelayContent m_content;
+    ServiceName m_callerService;
+    TargetId m_target; /**< no other life of the target may run it */
+    Endpoint m_endpoint;
+    Duration m_timeLeft {};
+
+    auto operator<=> (const RelayToTarget&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_call, m_content, m_callerService, m_target, m_endpoint, m_timeLeft);
+    }
+};
+
+/** The store is to hold this of the own node. */
+struct PublishMember
+{
+    Member m_member;
+
+    auto operator<=> (const PublishMember&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_member); }
+};
+
+/** The store is to hold nothing any more of a node. */
+struct WithdrawMember
+{
+    InstanceName m_instance;
+
+    auto operator<=> (const WithdrawMember&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_instance); }
+};
+
+/** A decision on a relayed request, or a change of what the node believes. */
+enum class Decision : std::uint8_t
+{
+    requestAdmitted,
+    requestHeld,
+    requestSent,
+    requestSentAgain,
+    requestAnswered,
+    requestRefused,
+    requestGivenUp,
+    requestCancelled,
+    gateQueued,
+    gateDispatched,
+    gateRefused,
+    gateEnded,
+    targetAnnounced,
+    targetSilent,
+    peerFound,
+    peerLost,
+    peerRegained,
+    routesInForce,
+    routesInvalid,
+    admissionMoved,
+    decisionCount
+};
+
+/** One input of a decision, by name. */
+struct DecisionInput
+{
+    std::string m_name;
+    std::string m_value;
+
+    auto operator<=> (const DecisionInput&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_name, m_value); }
+};
+
+/** Writes a decision to the log with what decided it. */
+struct LogDecision
+{
+    Decision m_decision = Decision::requestAdmitted;
+    std::string m_request; /**< the request's id; empty where it is about no request */
+    std::vector<DecisionInput> m_inputs;
+
+    auto operator<=> (const LogDecision&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_decision, m_request, m_inputs); }
+};
+
 using Effect = std::variant<AnswerRequest, SendToPeer, ReplyOnLink, SendRumour, DispatchToTarget,
-                            AbandonTarget, FetchList, ReadLog, AppendJoin, AppendCheckpoint, WriteLog, Exit>;
+                            AbandonTarget, FetchList, ReadLog, AppendJoin, AppendCheckpoint, WriteLog, Exit,
+                            AnswerRelay, RelayToTarget, PublishMember, WithdrawMember, LogDecision>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -255,10 +255,108 @@
     template <class Archive> void serialize (Archive&) {}
 };
 
+//==============================================================================
+/** A relayed request came in, from a caller of this instance or from its target. */
+struct RelayRequestReceived
+{
+    Ticket m_ticket = 0;
+    std::string m_host; /**< that the request names; part of what picks the route */
+    RelayContent m_content;
+    std::optional<Duration> m_timeout; /**< how long the sender waits; nullopt: it did not say */
+
+    auto operator<=> (const RelayRequestReceived&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_ticket, m_host, m_content, m_timeout);
+    }
+};
+
+enum class TargetReplyKind : std::uint8_t
+{
+    answered, /**< the target's whole answer */
+    rejected, /**< the target says that it did not run the request */
+    notSent,  /**< no connection came up: nothing was sent */
+    broken    /**< the request may have run, and there is no whole answer */
+};
+
+/** What a target says of its own load on an answer. */
+struct ReportedLoad
+{
+    std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
+    std::uint32_t m_slots = 0;
+
+    auto operator<=> (const ReportedLoad&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_running, m_waiting, m_slots); }
+};
+
+/** How a relayed request ended at the own target. */
+struct TargetReply
+{
+    CallId m_call = 0;
+    TargetReplyKind m_kind = TargetReplyKind::broken;
+    RelayedAnswer m_answer;
+    std::optional<ReportedLoad> m_load;
+
+    auto operator<=> (const TargetReply&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_call, m_kind, m_answer, m_load); }
+};
+
+enum class AnnouncedState : std::uint8_t
+{
+    serving,
+    draining,
+    gone
+};
+
+/** The own target said what it is. */
+struct TargetAnnounced
+{
+    TargetId m_target;
+    AnnouncedState m_state = AnnouncedState::serving;
+    std::uint64_t m_sequence = 0; /**< rises with each announcement of one life; gone has none */
+    ServiceName m_service;
+    Endpoint m_endpoint;
+    std::uint32_t m_slots = 0;
+    Duration m_coldLeft {}; /**< how much longer it is slow from its start */
+
+    auto operator<=> (const TargetAnnounced&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_target, m_state, m_sequence, m_service, m_endpoint, m_slots, m_coldLeft);
+    }
+};
+
+/** The store was read: the newest routes, as their operators wrote them. */
+struct RoutesRead
+{
+    std::string m_text;
+
+    auto operator<=> (const RoutesRead&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_text); }
+};
+
+/** The store was read: nodes that announced themselves or were withdrawn since the last read. */
+struct MembersRead
+{
+    std::vector<Member> m_members;
+    std::vector<InstanceName> m_withdrawn;
+
+    auto operator<=> (const MembersRead&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_members, m_withdrawn); }
+};
+
 using EventBody =
     std::variant<TimePassed, RequestReceived, RequesterGone, PeerMessageReceived, PeerUnreachable, PeerLost,
                  LinkClosed, RumourReceived, TargetAnswered, TargetFailed, TargetObserved, ListReceived,
-                 ConfigurationRead, JoinsRead, StopRequested>;
+                 ConfigurationRead, JoinsRead, StopRequested, RelayRequestReceived, TargetReply,
+                 TargetAnnounced, RoutesRead, MembersRead>;
 
 //==============================================================================
 struct Event
--- a/modules/plankledge_policy/Reducer.cpp
+++ b/modules/plankledge_policy/Reducer.cpp
@@ -1,17 +1,27 @@
 #include "plankledge_policy/Reducer.h"
 
-#include <algorithm>
-
 namespace plankledge
 {
 
 namespace
 {
 
-constexpr Duration housekeepingPeriod = std::chrono::seconds (5);
-constexpr Duration bufferedAfterPause = Milliseconds (100);
-constexpr Duration heartbeatTimePerPeer = Milliseconds (200);
-constexpr Duration listTimePerMember = Milliseconds (36); // at 40 bytes a line about 1.1 KB/s at any size
+/** Hands an event to a part that takes its kind. */
+template <class Part, class Body> void offer (Part* part, const Body& body)
+{
+    if constexpr (requires { part->handle (body); })
+        if (part != nullptr)
+            part->handle (body);
+}
+
+/** Hands a peer's message to a part that takes its kind. */
+template <class Part, class Message>
+void offer (Part* part, LinkId link, const NodeId& from, const Message& message)
+{
+    if constexpr (requires { part->onMessage (link, from, message); })
+        if (part != nullptr)
+            part->onMessage (link, from, message);
+}
 
 } // namespace
 
@@ -20,34 +30,15 @@
     : m_settings (settings)
     , m_random (settings.m_seed)
     , m_turn (m_settings, m_counters, m_timers, m_random)
-    , m_membership (settings.m_self)
-    , m_router (settings.m_self)
-    , m_inbound (m_settings, m_membership, m_thresholds,
-                 { [this] (Turn& turn, const CallAnswer& answer) {
-                      m_outgoing.onAnswer (turn, m_settings.m_self.m_id.m_instance, answer);
-                  },
-                   [this] (Turn& turn, CallId parent) { m_outgoing.cancelChildrenOf (turn, parent); },
-                   [this] {
-                       const auto* declarations = m_configuration.declarations();
-                       return declarations != nullptr ? declarations->find (m_settings.m_self.m_service)
-                                                      : nullptr;
-                   },
-                   [this] { return m_join.isEstablished(); } })
-    , m_outgoing (
-          m_settings, m_membership, m_router, m_thresholds, m_inbound,
-          { [this] { return m_configuration.declarations(); },
-            [this] (Turn& turn, const CallRequest& request) {
-                m_inbound.receive (turn, { 0, m_settings.m_self.m_id.m_instance, request.m_callId }, request);
-            },
-            [this] (Turn& turn, CallId call) {
-                m_inbound.cancel (turn, { 0, m_settings.m_self.m_id.m_instance, call });
-            } })
-    , m_rumours (m_membership)
-    , m_configuration (std::move (parser), [this] (Turn&) { onConfigurationInForce(); })
-    , m_join (m_membership, m_inbound.records(), [this] (Turn&) { onEstablished(); })
-    , m_drain (m_membership, m_inbound.records(),
-               { [this] (Turn&) { announceState(); }, [this] { m_inbound.gate().close(); },
-                 [this] { return m_inbound.isIdle() && m_outgoing.isIdle(); } })
+    , m_keyed (std::make_unique<KeyedRequests> (m_turn, std::move (parser)))
+{
+}
+
+Reducer::Reducer (const NodeSettings& settings, const RelaySettings& relay, RouteTableParser parser)
+    : m_settings (settings)
+    , m_random (settings.m_seed)
+    , m_turn (m_settings, m_counters, m_timers, m_random)
+    , m_relay (std::make_unique<RelayDecisions> (m_turn, relay, std::move (parser)))
 {
 }
 
@@ -55,14 +46,13 @@
 {
     m_turn.begin (now);
     m_lastEvent = now;
-    m_turn.emit (FetchList {});
-    m_join.start (m_turn);
-    m_configuration.start (m_turn);
-    m_timers.set (now + m_turn.jittered (m_settings.m_heartbeatPeriod / 2), TimerKind::heartbeat);
-    m_timers.set (now + m_turn.jittered (m_settings.m_rumourPeriod / 2), TimerKind::rumour);
-    m_timers.set (now + m_turn.jittered (m_settings.m_listPeriod / 2), TimerKind::listPoll);
-    m_timers.set (now + ShedThreshold::window, TimerKind::shedWindow);
-    m_timers.set (now + housekeepingPeriod, TimerKind::housekeeping);
+
+    if (m_keyed != nullptr)
+        m_keyed->start();
+
+    if (m_relay != nullptr)
+        m_relay->start();
+
     return m_turn.takeEffects();
 }
 
@@ -75,274 +65,57 @@
     return m_turn.takeEffects();
 }
 
+//==============================================================================
 void Reducer::noticePause (Time now)
 {
-    if (now - m_lastEvent > m_settings.m_wakeGap)
-    {
-        ++m_counters.m_wakes;
-        m_inbound.gate().refuseBufferedUntil (now + bufferedAfterPause);
-        m_turn.emit (WriteLog { Notice::wokeFromPause, {}, toMilliseconds (now - m_lastEvent) });
-    }
-
+    const auto pause = now - m_lastEvent;
     m_lastEvent = now;
-}
-
-//==============================================================================
-void Reducer::runTimers()
-{
-    while (const auto timer = m_timers.takeDue (m_turn.now()))
-        onTimer (*timer);
-}
-
-void Reducer::onTimer (const TimerQueue::Timer& timer)
-{
-    switch (timer.m_kind)
-    {
-    case TimerKind::outgoingDeadline:
-        return m_outgoing.onDeadline (m_turn, timer.m_subject);
-    case TimerKind::inboundDeadline:
-        return m_inbound.onDeadline (m_turn, timer.m_subject);
-    case TimerKind::inboundAbandon:
-        return m_inbound.onAbandonTime (m_turn, timer.m_subject);
-    case TimerKind::inquiryTimeout:
-        return m_inbound.inquiries().onTimeout (m_turn, timer.m_subject);
-    case TimerKind::heartbeat:
-        return onHeartbeatTime();
-    case TimerKind::rumour:
-        m_rumours.spread (m_turn, m_configuration.version(), Rumours::usualReceivers);
-        return m_timers.set (m_turn.now() + m_settings.m_rumourPeriod, TimerKind::rumour);
-    case TimerKind::listPoll:
-        return onListPollTime();
-    case TimerKind::logPoll:
-        return m_configuration.onPollTime (m_turn, m_membership.size());
-    case TimerKind::join:
-        return m_join.onTime (m_turn);
-    case TimerKind::shedWindow:
-        m_inbound.onWindowEnd (m_turn);
-        return m_timers.set (m_turn.now() + ShedThreshold::window, TimerKind::shedWindow);
-    case TimerKind::drain:
-        return m_drain.onTime (m_turn);
-    case TimerKind::checkpoint:
-        return m_configuration.onCheckpointTime (m_turn);
-    case TimerKind::housekeeping:
-        m_inbound.records().removeExpired (m_turn.now());
-        m_membership.removeExpired (m_turn.now());
-        return m_timers.set (m_turn.now() + housekeepingPeriod, TimerKind::housekeeping);
-    }
-}
-
-void Reducer::onListPollTime()
-{
-    const auto scaled = listTimePerMember * static_cast<Duration::rep> (m_membership.size());
-    const auto period = std::max (m_settings.m_listPeriod, scaled);
-    m_turn.emit (FetchList {});
-    m_timers.set (m_turn.now() + period / 2 + m_turn.jittered (period / 2) / 2, TimerKind::listPoll);
-}
-
-void Reducer::onHeartbeatTime()
-{
-    const auto peers = static_cast<Duration::rep> (m_membership.peers().size());
-    const auto period = std::max (m_settings.m_heartbeatPeriod, heartbeatTimePerPeer * peers);
-    sendHeartbeats();
-    m_timers.set (m_turn.now() + period, TimerKind::heartbeat);
-}
-
-void Reducer::sendHeartbeats()
-{
-    const auto digest = m_membership.digest();
-
-    for (const auto& peer : m_membership.peers())
-        m_turn.emit (SendToPeer { peer.m_id.m_instance, peer.m_endpoint,
-                                  Heartbeat { m_membership.self(), m_configuration.version(), digest } });
-}
-
-void Reducer::announceState()
-{
-    m_rumours.addNews (m_membership.self());
-    m_rumours.spread (m_turn, m_configuration.version(), Rumours::urgentReceivers);
-    sendHeartbeats();
-}
-
-void Reducer::onEstablished()
-{
-    m_turn.emit (WriteLog { Notice::established, {}, 0 });
-
-    if (m_membership.self().m_state == MemberState::joining)
-        m_membership.setOwnState (MemberState::serving);
-
-    announceState();
-}
 
-void Reducer::onConfigurationInForce()
-{
-    m_inbound.onConfiguration();
-    m_rumours.spread (m_turn, m_configuration.version(), Rumours::urgentReceivers);
-}
-
-//==============================================================================
-void Reducer::handle (const RequestReceived& event)
-{
-    if (m_drain.refusesNew() && ! event.m_isOutbound)
-        return OutgoingCalls::refuse (m_turn, event, Reason::draining);
-
-    if (m_inbound.gate().isLate (m_turn.now()))
-        return OutgoingCalls::refuse (m_turn, event, Reason::deadlineExceeded);
-
-    m_outgoing.receive (m_turn, event);
-}
-
-void Reducer::handle (const PeerMessageReceived& event)
-{
-    m_membership.onHeardFrom (event.m_from, m_turn.now());
-    std::visit ([&] (const auto& message) { onMessage (event.m_link, event.m_from, message); },
-                event.m_message);
-}
+    if (pause <= m_settings.m_wakeGap)
+        return;
 
-void Reducer::handle (const PeerUnreachable& event)
-{
-    m_join.onPeerUnreachable (event.m_instance);
-    m_drain.onPeerUnreachable (event.m_instance);
-    m_inbound.inquiries().onPeerGone (m_turn, event.m_instance);
-    m_outgoing.onPeerUnreachable (m_turn, event.m_instance, event.m_calls);
-}
+    ++m_counters.m_wakes;
 
-void Reducer::handle (const PeerLost& event)
-{
-    m_inbound.inquiries().onPeerGone (m_turn, event.m_instance);
-    m_outgoing.onPeerLost (m_turn, event.m_instance);
-}
+    if (m_keyed != nullptr)
+        m_keyed->onPause();
 
-void Reducer::handle (const RumourReceived& event)
-{
-    const auto& rumour = event.m_rumour;
-    m_rumours.onRumour (m_turn, rumour);
-    m_configuration.onPeerVersion (m_turn, rumour.m_sender, rumour.m_version);
-}
+    if (m_relay != nullptr)
+        m_relay->onPause();
 
-void Reducer::handle (const TargetObserved& event)
-{
-    m_inbound.onTargetObserved (m_turn, event.m_state);
-    updateOwnState();
+    m_turn.emit (WriteLog { Notice::wokeFromPause, {}, toMilliseconds (pause) });
 }
 
-/** Whoever says first that the instance is leaving, its target or the list, is believed. */
-void Reducer::updateOwnState()
+void Reducer::runTimers()
 {
-    const bool isListedLeaving = m_membership.isListedLeaving (m_settings.m_self.m_id.m_instance);
-
-    if (isListedLeaving != m_isListedLeaving)
+    while (const auto timer = m_timers.takeDue (m_turn.now()))
     {
-        m_isListedLeaving = isListedLeaving;
-        m_inbound.gate().closeFrom (
-            isListedLeaving ? std::optional<Time> (m_turn.now() + m_settings.m_drainGrace) : std::nullopt);
-    }
-
-    if (m_drain.isDraining() || ! m_join.isEstablished())
-        return;
+        if (m_keyed != nullptr)
+            m_keyed->onTimer (*timer);
 
-    const bool isLeaving = isListedLeaving || m_inbound.gate().targetState() == TargetState::draining;
-    const auto before = m_membership.self().m_state;
-    m_membership.setOwnState (isLeaving ? MemberState::leaving : MemberState::serving);
-
-    if (m_membership.self().m_state != before)
-        announceState();
-}
-
-void Reducer::handle (const ListReceived& event)
-{
-    for (const auto& gone : m_membership.onList (event.m_instances, m_settings, m_turn.now()))
-    {
-        m_router.forget (gone.m_instance);
-        m_turn.emit (WriteLog { Notice::memberLost, gone.m_instance, 0 });
+        if (m_relay != nullptr)
+            m_relay->onTimer (*timer);
     }
-
-    m_join.onListRead (m_turn);
-    updateOwnState();
-}
-
-//==============================================================================
-void Reducer::onMessage (LinkId link, const NodeId& from, const CallRequest& message)
-{
-    m_inbound.receive (m_turn, { link, from.m_instance, message.m_callId }, message);
-}
-
-void Reducer::onMessage (LinkId, const NodeId& from, const CallAnswer& message)
-{
-    m_outgoing.onAnswer (m_turn, from.m_instance, message);
-}
-
-void Reducer::onMessage (LinkId link, const NodeId& from, const CallCancel& message)
-{
-    m_inbound.cancel (m_turn, { link, from.m_instance, message.m_callId });
-}
-
-void Reducer::onMessage (LinkId link, const NodeId& from, const Inquiry& message)
-{
-    m_inbound.onInquiry (m_turn, link, from, message);
-}
-
-void Reducer::onMessage (LinkId, const NodeId& from, const InquiryAnswer& message)
-{
-    m_inbound.inquiries().onAnswer (m_turn, from, message);
-}
-
-void Reducer::onMessage (LinkId link, const NodeId& from, const JoinRequest& message)
-{
-    const bool isNew = m_membership.find (message.m_member.m_id.m_instance) == nullptr;
-    m_turn.emit (ReplyOnLink { link, from.m_instance, m_join.onRequest (m_turn, message) });
-
-    if (isNew)
-        m_rumours.addNews (message.m_member);
-}
-
-void Reducer::onMessage (LinkId, const NodeId& from, const JoinAcknowledgement& message)
-{
-    m_join.onAcknowledged (m_turn, from, message);
-}
-
-void Reducer::onMessage (LinkId, const NodeId& from, const Heartbeat& message)
-{
-    if (m_membership.learn (message.m_member, m_turn.now()))
-        m_rumours.addNews (message.m_member);
-
-    m_membership.onDigest (from.m_instance, message.m_membersDigest, m_turn.now());
-    m_configuration.onPeerVersion (m_turn, message.m_member, message.m_version);
-}
-
-void Reducer::onMessage (LinkId link, const NodeId& from, const Handover& message)
-{
-    m_inbound.onHandover (m_turn, link, from, message);
 }
 
-void Reducer::onMessage (LinkId, const NodeId&, const HandoverAcknowledgement& message)
+template <class Body> void Reducer::handle (const Body& body)
 {
-    m_drain.onHandoverAcknowledged (message);
+    offer (m_keyed.get(), body);
+    offer (m_relay.get(), body);
 }
 
-void Reducer::onMessage (LinkId link, const NodeId& from, const LeaveNotice& message)
-{
-    for (const auto& member : message.m_members)
-        m_membership.learn (member, m_turn.now());
-
-    m_membership.onLeft (message.m_id, m_turn.now());
-    m_router.forget (message.m_id.m_instance);
-    m_turn.emit (WriteLog { Notice::memberLeft, message.m_id.m_instance, 0 });
-    m_turn.emit (ReplyOnLink { link, from.m_instance, LeaveAcknowledgement { message.m_id } });
-}
-
-void Reducer::onMessage (LinkId, const NodeId& from, const LeaveAcknowledgement&)
+void Reducer::handle (const PeerMessageReceived& event)
 {
-    m_drain.onLeaveAcknowledged (from);
-}
+    if (m_keyed != nullptr)
+        m_keyed->onHeardFrom (event.m_from);
 
-void Reducer::onMessage (LinkId link, const NodeId& from, const ConfigurationPull& message)
-{
-    m_configuration.onPull (m_turn, link, from, message);
-}
+    if (m_relay != nullptr)
+        m_relay->onHeardFrom (event.m_from);
 
-void Reducer::onMessage (LinkId, const NodeId&, const ConfigurationState& message)
-{
-    m_configuration.onState (m_turn, message);
+    const auto hand = [&] (const auto& message) {
+        offer (m_keyed.get(), event.m_link, event.m_from, message);
+        offer (m_relay.get(), event.m_link, event.m_from, message);
+    };
+    std::visit (hand, event.m_message);
 }
 
 } // namespace plankledge
--- a/modules/plankledge_policy/TimerQueue.h
+++ b/modules/plankledge_policy/TimerQueue.h
@@ -23,7 +23,14 @@
     shedWindow,
     drain,
     housekeeping,
-    checkpoint
+    checkpoint,
+    relayDeadline, /**< of a request at its entry */
+    relayHold,     /**< a request at its entry has waited long enough for a target */
+    gateDeadline,  /**< of a request at the gate */
+    gateHold,      /**< a request has waited long enough in the gate */
+    relayWindow,   /**< ends a window of measurement */
+    peerHello,
+    relayStop
 };
 
 //==============================================================================
--- a/modules/plankledge_policy/Admission.cpp
+++ b/modules/plankledge_policy/admission/Admission.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/Admission.h"
+#include "plankledge_policy/admission/Admission.h"
 
 #include <algorithm>
 #include <cassert>
--- a/modules/plankledge_policy/Admission.h
+++ b/modules/plankledge_policy/admission/Admission.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "plankledge_core/PeerMessages.h"
-#include "plankledge_policy/AdmissionQueue.h"
-#include "plankledge_policy/ConcurrencyLimit.h"
-#include "plankledge_policy/ShedThreshold.h"
+#include "plankledge_policy/admission/AdmissionQueue.h"
+#include "plankledge_policy/admission/ConcurrencyLimit.h"
+#include "plankledge_policy/admission/ShedThreshold.h"
 #include <optional>
 
 namespace plankledge
--- a/modules/plankledge_policy/AdmissionQueue.cpp
+++ b/modules/plankledge_policy/admission/AdmissionQueue.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/AdmissionQueue.h"
+#include "plankledge_policy/admission/AdmissionQueue.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/ShedThreshold.cpp
+++ b/modules/plankledge_policy/admission/ShedThreshold.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/ShedThreshold.h"
+#include "plankledge_policy/admission/ShedThreshold.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/ThresholdBook.cpp
+++ b/modules/plankledge_policy/admission/ThresholdBook.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/ThresholdBook.h"
+#include "plankledge_policy/admission/ThresholdBook.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/InboundCalls.cpp
+++ b/modules/plankledge_policy/calls/InboundCalls.cpp
@@ -1,7 +1,7 @@
-#include "plankledge_policy/InboundCalls.h"
+#include "plankledge_policy/calls/InboundCalls.h"
 
 #include "plankledge_core/Hash.h"
-#include "plankledge_policy/ComeBack.h"
+#include "plankledge_policy/admission/ComeBack.h"
 #include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
--- a/modules/plankledge_policy/InboundCalls.h
+++ b/modules/plankledge_policy/calls/InboundCalls.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "plankledge_policy/Admission.h"
-#include "plankledge_policy/InquiryBoard.h"
-#include "plankledge_policy/IntakeGate.h"
-#include "plankledge_policy/Membership.h"
-#include "plankledge_policy/RecordTable.h"
-#include "plankledge_policy/RetryBudget.h"
-#include "plankledge_policy/ThresholdBook.h"
 #include "plankledge_policy/Turn.h"
+#include "plankledge_policy/admission/Admission.h"
+#include "plankledge_policy/admission/ThresholdBook.h"
+#include "plankledge_policy/calls/IntakeGate.h"
+#include "plankledge_policy/membership/Membership.h"
+#include "plankledge_policy/once/InquiryBoard.h"
+#include "plankledge_policy/once/RecordTable.h"
+#include "plankledge_policy/retries/RetryBudget.h"
 #include <functional>
 #include <map>
 #include <string>
--- a/modules/plankledge_policy/OutgoingCalls.cpp
+++ b/modules/plankledge_policy/calls/OutgoingCalls.cpp
@@ -1,7 +1,7 @@
-#include "plankledge_policy/OutgoingCalls.h"
+#include "plankledge_policy/calls/OutgoingCalls.h"
 
 #include "plankledge_core/Hash.h"
-#include "plankledge_policy/ComeBack.h"
+#include "plankledge_policy/admission/ComeBack.h"
 #include <algorithm>
 
 namespace plankledge
--- a/modules/plankledge_policy/OutgoingCalls.h
+++ b/modules/plankledge_policy/calls/OutgoingCalls.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "plankledge_policy/InboundCalls.h"
-#include "plankledge_policy/Membership.h"
-#include "plankledge_policy/RetryDecision.h"
-#include "plankledge_policy/Router.h"
-#include "plankledge_policy/ThresholdBook.h"
 #include "plankledge_policy/Turn.h"
+#include "plankledge_policy/admission/ThresholdBook.h"
+#include "plankledge_policy/calls/InboundCalls.h"
+#include "plankledge_policy/membership/Membership.h"
+#include "plankledge_policy/retries/RetryDecision.h"
+#include "plankledge_policy/routing/Router.h"
 #include <functional>
 #include <map>
 #include <set>
--- a/modules/plankledge_policy/ConfigurationJudge.cpp
+++ b/modules/plankledge_policy/configuration/ConfigurationJudge.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/ConfigurationJudge.h"
+#include "plankledge_policy/configuration/ConfigurationJudge.h"
 
 #include <algorithm>
 #include <utility>
--- a/modules/plankledge_policy/ConfigurationSync.cpp
+++ b/modules/plankledge_policy/configuration/ConfigurationSync.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/ConfigurationSync.h"
+#include "plankledge_policy/configuration/ConfigurationSync.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/ConfigurationSync.h
+++ b/modules/plankledge_policy/configuration/ConfigurationSync.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "plankledge_policy/ConfigurationJudge.h"
-#include "plankledge_policy/Membership.h"
 #include "plankledge_policy/Turn.h"
+#include "plankledge_policy/configuration/ConfigurationJudge.h"
+#include "plankledge_policy/membership/Membership.h"
 #include <functional>
 
 namespace plankledge
--- a/modules/plankledge_policy/DrainProtocol.cpp
+++ b/modules/plankledge_policy/membership/DrainProtocol.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/DrainProtocol.h"
+#include "plankledge_policy/membership/DrainProtocol.h"
 
 #include "plankledge_core/Hash.h"
 #include <set>
--- a/modules/plankledge_policy/JoinProtocol.cpp
+++ b/modules/plankledge_policy/membership/JoinProtocol.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/JoinProtocol.h"
+#include "plankledge_policy/membership/JoinProtocol.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/Membership.cpp
+++ b/modules/plankledge_policy/membership/Membership.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/Membership.h"
+#include "plankledge_policy/membership/Membership.h"
 
 #include "plankledge_core/Hash.h"
 #include <algorithm>
--- a/modules/plankledge_policy/Rumours.cpp
+++ b/modules/plankledge_policy/membership/Rumours.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/Rumours.h"
+#include "plankledge_policy/membership/Rumours.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/Rumours.h
+++ b/modules/plankledge_policy/membership/Rumours.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "plankledge_policy/Membership.h"
 #include "plankledge_policy/Turn.h"
+#include "plankledge_policy/membership/Membership.h"
 #include <map>
 
 namespace plankledge
--- a/modules/plankledge_policy/InquiryBoard.cpp
+++ b/modules/plankledge_policy/once/InquiryBoard.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/InquiryBoard.h"
+#include "plankledge_policy/once/InquiryBoard.h"
 
 #include "plankledge_core/Hash.h"
 
--- /dev/null
+++ b/modules/plankledge_policy/relay/CallGraph.cpp
@@ -0,0 +1,136 @@
+#include "plankledge_policy/relay/CallGraph.h"
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** Older observations count half as much each time so many requests were seen. */
+constexpr double requestsToHalve = 200.0;
+
+/** Fewer requests tell too little about how often they call. */
+constexpr double fewestRequests = 5.0;
+
+/** Chains are followed no deeper; the deepest that the users plan for has 18 calls. */
+constexpr unsigned deepestChain = 18;
+
+constexpr double permille = 1000.0;
+
+} // namespace
+
+//==============================================================================
+void CallGraph::onRequest (const RouteName& route)
+{
+    auto& caller = m_own[route];
+    caller.m_requests += 1.0;
+
+    if (caller.m_requests < requestsToHalve)
+        return;
+
+    caller.m_requests /= 2.0;
+
+    for (auto& [name, callee] : caller.m_callees)
+        callee.m_calls /= 2.0;
+}
+
+void CallGraph::onCall (const RouteName& caller, const RouteName& callee, const ServiceName& service)
+{
+    auto& entry = m_own[caller].m_callees[callee];
+    entry.m_service = service;
+    entry.m_calls += 1.0;
+}
+
+std::vector<CallEdge> CallGraph::ownEdges() const
+{
+    std::vector<CallEdge> edges;
+
+    for (const auto& [route, caller] : m_own)
+    {
+        if (caller.m_requests < fewestRequests)
+            continue;
+
+        for (const auto& [name, callee] : caller.m_callees)
+            edges.push_back ({ route, name, callee.m_service,
+                               static_cast<std::uint32_t> (callee.m_calls / caller.m_requests * permille) });
+    }
+
+    return edges;
+}
+
+//==============================================================================
+void CallGraph::onPeerEdges (const InstanceName& peer, const std::vector<CallEdge>& edges)
+{
+    auto& known = m_peers[peer];
+
+    if (known == edges)
+        return;
+
+    known = edges;
+    mergeEdges();
+}
+
+void CallGraph::forget (const InstanceName& peer)
+{
+    if (m_peers.erase (peer) > 0)
+        mergeEdges();
+}
+
+void CallGraph::mergeEdges()
+{
+    struct Sum
+    {
+        ServiceName m_service;
+        std::uint64_t m_callsPermille = 0;
+        std::uint64_t m_observers = 0;
+    };
+
+    std::map<std::pair<RouteName, RouteName>, Sum> sums;
+
+    for (const auto& [peer, edges] : m_peers)
+    {
+        for (const auto& edge : edges)
+        {
+            auto& sum = sums[{ edge.m_caller, edge.m_callee }];
+            sum.m_service = edge.m_service;
+            sum.m_callsPermille += edge.m_callsPermille;
+            ++sum.m_observers;
+        }
+    }
+
+    m_merged.clear();
+    m_demands.clear();
+
+    for (const auto& [names, sum] : sums)
+        m_merged[names.first].push_back (
+            { names.first, names.second, sum.m_service,
+              static_cast<std::uint32_t> (sum.m_callsPermille / sum.m_observers) });
+}
+
+//==============================================================================
+const CallGraph::Demand& CallGraph::demandOf (const RouteName& route)
+{
+    const auto [entry, isNew] = m_demands.try_emplace (route);
+
+    if (isNew)
+        addDemand (route, 1.0, 0, entry->second);
+
+    return entry->second;
+}
+
+void CallGraph::addDemand (const RouteName& route, double times, unsigned depth, Demand& demand) const
+{
+    const auto found = m_merged.find (route);
+
+    if (found == m_merged.end() || depth >= deepestChain)
+        return;
+
+    for (const auto& edge : found->second)
+    {
+        const auto calls = times * edge.m_callsPermille / permille;
+        demand[edge.m_service] += calls;
+        addDemand (edge.m_callee, calls, depth + 1, demand);
+    }
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/EntryAdmission.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "plankledge_core/Random.h"
+#include "plankledge_policy/relay/CallGraph.h"
+#include "plankledge_policy/relay/PeerTable.h"
+#include "plankledge_policy/relay/RouteTable.h"
+
+#include <map>
+
+namespace plankledge
+{
+
+//==============================================================================
+/**
+    Decides at the entry whether a new request may begin.
+
+    A request needs its own service and all that its calls reach. It is admitted only if
+    its place in the order of refusal lies below the level of each of them, so that no
+    work is begun above a service which has no room for it. The place is its route's
+    priority and, within that, a random cohort; one that comes back after a refusal draws
+    from the better half.
+*/
+class EntryAdmission
+{
+public:
+    //==============================================================================
+    /** Why a request may not begin. */
+    struct Refusal
+    {
+        ServiceName m_service; /**< that has no room for it */
+        double m_place = 0.0;
+        double m_level = 0.0;
+    };
+
+    /** @param timeout   how long the sender of the request waits
+
+        @returns the refusal, or nullopt where the request may begin
+    */
+    std::optional<Refusal> judge (const Route& route, const ServiceName& service, Duration timeout,
+                                  const RouteTable& routes, const PeerTable& peers, CallGraph& calls,
+                                  Random& random);
+
+    /** @returns the mean level of a service's open gates, each by its size; 1 where none is known */
+    static double levelOf (const ServiceName& service, const PeerTable& peers) noexcept;
+
+private:
+    //==============================================================================
+    bool isComingBack (const RouteName& route, Duration timeout);
+
+    std::map<RouteName, Duration> m_longestTimeouts; /**< that senders of a route's requests gave lately */
+};
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "plankledge_policy/Turn.h"
+#include "plankledge_policy/relay/RelayEntry.h"
+
+namespace plankledge
+{
+
+//==============================================================================
+/**
+    The decisions about relayed requests: their senders give each attempt an id of its own,
+    so that a request runs at most once if no second sending is made while the first may
+    have run. No record, lease or agreement is needed.
+
+    Each concern is a part of its own; this class only leads events to them and ties them
+    together.
+
+    @see Reducer, KeyedRequests
+*/
+class RelayDecisions
+{
+public:
+    //==============================================================================
+    RelayDecisions (Turn& turn, const RelaySettings& settings, RouteTableParser parser);
+
+    RelayDecisions (const RelayDecisions&) = delete;
+    RelayDecisions& operator= (const RelayDecisions&) = delete;
+
+    void start();
+    void onPause();
+    void onTimer (const TimerQueue::Timer& timer);
+
+    //==============================================================================
+    /** @returns whether callers may be sent to this node */
+    bool isReady() const noexcept { return m_routes.isKnown() && ! m_stoppedAt.has_value(); }
+
+    const RouteFollower& routes() const noexcept { return m_routes; }
+    const PeerTable& peers() const noexcept { return m_peers; }
+    const TargetGate& gate() const noexcept { return m_gate; }
+    const RelayEntry& entry() const noexcept { return m_entry; }
+
+    //==============================================================================
+    void handle (const RelayRequestReceived& event) { m_entry.receive (m_turn, event); }
+    void handle (const RequesterGone& event) { m_entry.onRequesterGone (m_turn, event.m_ticket); }
+    void handle (const TargetReply& event) { m_gate.onReply (m_turn, event); }
+    void handle (const TargetAnnounced& event) { m_gate.onAnnounced (m_turn, event); }
+    void handle (const LinkClosed& event) { m_gate.onLinkClosed (m_turn, event.m_link); }
+    void handle (const RoutesRead& event) { m_routes.onText (m_turn, event.m_text, "store"); }
+    void handle (const PeerUnreachable& event);
+    void handle (const PeerLost& event);
+    void handle (const MembersRead& event);
+    void handle (const StopRequested& event);
+
+    /** Something was heard from a peer, whatever it was. */
+    void onHeardFrom (const NodeId& from);
+
+    void onMessage (LinkId link, const NodeId& from, const RelayRequest& message);
+    void onMessage (LinkId link, const NodeId& from, const RelayAnswer& message);
+    void onMessage (LinkId link, const NodeId& from, const RelayCancel& message);
+    void onMessage (LinkId link, const NodeId& from, const PeerHello& message);
+    void onMessage (LinkId link, const NodeId& from, const PeerStatus& message);
+    void onMessage (LinkId link, const NodeId& from, const RoutesPull& message);
+    void onMessage (LinkId link, const NodeId& from, const RoutesText& message);
+
+private:
+    //==============================================================================
+    void onWindowEnd();
+    void onStopTime();
+    void greet (const Member& member);
+    void greetAll();
+    void onGateMoved();
+    void onPeerDown (const InstanceName& instance);
+    PeerStatus status() const;
+
+    Turn& m_turn;
+    const RelaySettings m_settings;
+    RouteFollower m_routes;
+    PeerTable m_peers;
+    CallGraph m_calls;
+    TargetGate m_gate;
+    RelayEntry m_entry;
+    std::optional<Time> m_stoppedAt;
+};
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -0,0 +1,513 @@
+#include "plankledge_policy/relay/RelayEntry.h"
+
+#include "plankledge_policy/relay/RequestIds.h"
+#include "plankledge_policy/relay/TargetChoice.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** Used where neither the sender nor the route says how long to wait. */
+constexpr Duration usualTimeout = std::chrono::seconds (30);
+
+/** A new request is kept waiting for this part of its objective before it is refused: a caller who is refused
+   by then loses little. */
+constexpr double heldShareOfObjective = 0.2;
+
+/** A call for a request that runs already is kept waiting until so long before its deadline. */
+constexpr Duration nestedHoldMargin = Milliseconds (50);
+
+/** Gates that are asked after the first one refused. */
+constexpr unsigned mostRedirects = 2;
+
+/** Callers wait at most this part of their time before they come back. */
+constexpr int comeBackDivisor = 3;
+
+/** What lay in the buffers of a process that stood still is of unknown age; this long it is refused. */
+constexpr Duration bufferedAfterPause = Milliseconds (50);
+
+/** A stopping node begins no new request after this: the platform has asked twice by then whether it is
+   ready, and callers have gone elsewhere. */
+constexpr Duration entryOpenAfterStop = std::chrono::seconds (3);
+
+/** Below this a second sending is not worth it: no target would end it in time. */
+constexpr Duration leastTimeForRetry = Milliseconds (30);
+
+constexpr std::uint16_t serverError = 500;
+
+std::string milliseconds (Duration duration)
+{
+    return fmt::format ("{}", toMilliseconds (duration));
+}
+
+} // namespace
+
+//==============================================================================
+RelayEntry::RelayEntry (const RelaySettings& settings, const Member& self, Parts parts)
+    : m_settings (settings)
+    , m_self (self)
+    , m_parts (parts)
+    , m_tokens (settings)
+{
+}
+
+//==============================================================================
+void RelayEntry::receive (Turn& turn, const RelayRequestReceived& received)
+{
+    if (! m_parts.m_routes.isKnown())
+        return refuse (turn, received, Reason::noConfiguration);
+
+    if (turn.now() < m_staleUntil)
+        return refuse (turn, received, Reason::staleAfterPause);
+
+    const auto* route = m_parts.m_routes.table().find (received.m_host, received.m_content.m_path);
+
+    if (route == nullptr)
+        return refuse (turn, received, Reason::noRoute);
+
+    auto request = makeRequest (turn, received, *route);
+
+    if (isStopping() && ! request.m_isNested && turn.now() - *m_stoppedAt > entryOpenAfterStop)
+        return refuse (turn, received, Reason::draining);
+
+    if (request.m_isNested)
+        noteNestedCall (request);
+    else if (! isAdmitted (turn, request, received.m_timeout.value_or (usualTimeout)))
+        return refuse (turn, received, Reason::overloadedDownstream);
+
+    const auto id = m_next++;
+    m_byTicket[request.m_ticket] = id;
+    turn.timers().set (request.m_deadline, TimerKind::relayDeadline, id);
+    m_tokens.setNodes (m_parts.m_peers.size());
+    m_tokens.onRequest (request.m_service, turn.now());
+    m_requests.emplace (id, std::move (request));
+    send (turn, id);
+}
+
+RelayEntry::Request RelayEntry::makeRequest (Turn& turn, const RelayRequestReceived& received,
+                                             const Route& route)
+{
+    Request request;
+    request.m_ticket = received.m_ticket;
+    request.m_content = received.m_content;
+    request.m_route = route;
+    request.m_service = chooseService (route);
+    request.m_isNested = m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)) != nullptr;
+    request.m_receivedAt = turn.now();
+    request.m_deadline = turn.now() + std::min (received.m_timeout.value_or (usualTimeout), route.m_timeout);
+
+    const auto held = Duration (static_cast<Duration::rep> (
+        static_cast<double> (route.m_latencyObjective.count()) * heldShareOfObjective));
+    request.m_holdEnd = request.m_isNested ? request.m_deadline - nestedHoldMargin
+                                           : std::min (request.m_deadline, turn.now() + held);
+    return request;
+}
+
+/** Smooth weighted round robin: each service's share is right over any short run of requests. */
+const ServiceName& RelayEntry::chooseService (const Route& route)
+{
+    if (route.m_services.size() == 1)
+        return route.m_services.front().m_service;
+
+    auto& owed = m_shares[route.m_name];
+    owed.resize (route.m_services.size(), 0.0);
+    double total = 0.0;
+    std::size_t best = 0;
+
+    for (std::size_t index = 0; index < owed.size(); ++index)
+    {
+        owed[index] += route.m_services[index].m_weight;
+        total += route.m_services[index].m_weight;
+
+        if (owed[index] > owed[best])
+            best = index;
+    }
+
+    owed[best] -= total;
+    return route.m_services[best].m_service;
+}
+
+void RelayEntry::noteNestedCall (Request& request)
+{
+    const auto* parent = m_parts.m_gate.findRunning (parentOf (request.m_content.m_id));
+    m_parts.m_gate.onNestedCall (*parent, request.m_route.m_name, request.m_service);
+}
+
+bool RelayEntry::isAdmitted (Turn& turn, const Request& request, Duration timeout)
+{
+    const auto refusal =
+        m_admission.judge (request.m_route, request.m_service, timeout, m_parts.m_routes.table(),
+                           m_parts.m_peers, m_parts.m_calls, turn.random());
+
+    if (! refusal.has_value())
+        return true;
+
+    turn.emit (LogDecision { Decision::requestRefused,
+                             request.m_content.m_id,
+                             { { "reason", "no-room" },
+                               { "service", refusal->m_service },
+                               { "place", fmt::format ("{:.3f}", refusal->m_place) },
+                               { "level", fmt::format ("{:.3f}", refusal->m_level) },
+                               { "route", request.m_route.m_name },
+                               { "version", fmt::format ("{}", m_parts.m_routes.version()) } } });
+    return false;
+}
+
+void RelayEntry::refuse (Turn& turn, const RelayRequestReceived& received, Reason reason)
+{
+    ++turn.counters().m_systemAnswers[reason];
+    ++turn.counters().m_outcomes[static_cast<std::size_t> (Outcome::notRun)];
+    RelayResult result { Outcome::notRun, reason, {}, {} };
+
+    if (canPassLater (reason))
+        result.m_comeBack = comeBackAfter (turn, received.m_timeout.value_or (usualTimeout));
+
+    if (reason != Reason::overloadedDownstream)
+        turn.emit (LogDecision { Decision::requestRefused,
+                                 received.m_content.m_id,
+                                 { { "reason", std::string (nameOf (reason)) },
+                                   { "host", received.m_host },
+                                   { "path", received.m_content.m_path },
+                                   { "version", fmt::format ("{}", m_parts.m_routes.version()) } } });
+
+    turn.emit (AnswerRelay { received.m_ticket, std::move (result), isStopping() });
+}
+
+//==============================================================================
+void RelayEntry::send (Turn& turn, CallId id)
+{
+    auto& request = m_requests.at (id);
+    const ChoiceNeeds needs { m_self.m_zone, request.m_route.m_latencyObjective, request.m_tried };
+    const auto* peer = chooseTarget (m_parts.m_peers.takingWork (request.m_service), needs, turn.random());
+
+    if (peer == nullptr)
+        return hold (turn, id);
+
+    sendTo (turn, id, *peer);
+}
+
+void RelayEntry::sendTo (Turn& turn, CallId id, const Peer& peer)
+{
+    auto& request = m_requests.at (id);
+    const auto& instance = peer.m_member.m_id.m_instance;
+    const auto now = turn.now();
+    request.m_instance = instance;
+    request.m_call = m_next++;
+    request.m_isHeld = false;
+    m_held.erase (id);
+    m_byCall[request.m_call] = id;
+    m_parts.m_peers.onSent (instance);
+
+    RelayRequest message;
+    message.m_callId = request.m_call;
+    message.m_content = request.m_content;
+    message.m_service = request.m_service;
+    message.m_callerService = m_self.m_service;
+    message.m_route = request.m_route.m_name;
+    message.m_urgency = static_cast<std::uint16_t> (request.m_route.m_priority);
+    message.m_isNested = request.m_isNested;
+    message.m_timeLeft = request.m_deadline - now;
+    message.m_longestQueueing = std::max (Duration::zero(), Duration (request.m_holdEnd - now));
+    message.m_sentAt = now.time_since_epoch();
+
+    if (isLogged (request.m_content.m_id))
+        turn.emit (LogDecision { Decision::requestSent,
+                                 request.m_content.m_id,
+                                 { { "peer", instance },
+                                   { "route", request.m_route.m_name },
+                                   { "service", request.m_service },
+                                   { "version", fmt::format ("{}", m_parts.m_routes.version()) },
+                                   { "load", fmt::format ("{}", peer.load()) },
+                                   { "limit", fmt::format ("{}", peer.m_gate.m_limit) },
+                                   { "gate_age_ms", milliseconds (now - peer.m_heardAt) },
+                                   { "time_left_ms", milliseconds (message.m_timeLeft) } } });
+
+    if (instance == m_self.m_id.m_instance)
+        m_parts.m_gate.receive (turn, { 0, instance, message.m_callId }, std::move (message));
+    else
+        turn.emit (SendToPeer { instance, peer.m_member.m_endpoint, std::move (message) });
+}
+
+/** Keeps a request until a target can take it, or it has waited long enough. */
+void RelayEntry::hold (Turn& turn, CallId id)
+{
+    auto& request = m_requests.at (id);
+
+    if (turn.now() >= request.m_holdEnd)
+        return giveUp (turn, id, request.m_lastReason);
+
+    request.m_isHeld = true;
+    m_held.insert (id);
+    turn.timers().set (request.m_holdEnd, TimerKind::relayHold, id);
+}
+
+void RelayEntry::retryHeld (Turn& turn)
+{
+    const auto held = m_held;
+
+    for (const auto id : held)
+    {
+        const auto found = m_requests.find (id);
+
+        if (found == m_requests.end() || ! found->second.m_isHeld)
+            continue;
+
+        found->second.m_tried.clear();
+        found->second.m_redirects = 0;
+        send (turn, id);
+    }
+}
+
+void RelayEntry::onHoldEnd (Turn& turn, CallId id)
+{
+    const auto found = m_requests.find (id);
+
+    if (found != m_requests.end() && found->second.m_isHeld)
+        giveUp (turn, id, found->second.m_lastReason);
+}
+
+/** The request is nowhere any more. */
+void RelayEntry::detach (Request& request)
+{
+    m_byCall.erase (request.m_call);
+    request.m_instance.clear();
+    request.m_call = 0;
+}
+
+/** Takes the request back from where it is. */
+void RelayEntry::withdraw (Turn& turn, Request& request)
+{
+    if (request.m_instance.empty())
+        return;
+
+    const auto instance = request.m_instance;
+    const auto call = request.m_call;
+    detach (request);
+
+    if (instance == m_self.m_id.m_instance)
+        return m_parts.m_gate.cancel (turn, { 0, instance, call });
+
+    if (const auto* peer = m_parts.m_peers.find (instance))
+        turn.emit (SendToPeer { instance, peer->m_member.m_endpoint, RelayCancel { call } });
+}
+
+//==============================================================================
+void RelayEntry::onAnswer (Turn& turn, const InstanceName& from, const RelayAnswer& answer)
+{
+    m_parts.m_peers.onGate (from, answer.m_gate);
+    const auto found = m_byCall.find (answer.m_callId);
+
+    if (found == m_byCall.end())
+    {
+        ++turn.counters().m_lateAnswers;
+        return;
+    }
+
+    const auto id = found->second;
+    auto& request = m_requests.at (id);
+
+    if (request.m_instance != from)
+    {
+        ++turn.counters().m_lateAnswers;
+        return;
+    }
+
+    detach (request);
+    request.m_tried.insert (from);
+
+    if (answer.m_result.m_outcome == Outcome::completed)
+    {
+        ++request.m_arrivals;
+        return finish (turn, id, answer.m_result);
+    }
+
+    onNotAnswered (turn, id, answer.m_result);
+}
+
+void RelayEntry::onPeerUnreachable (Turn& turn, const InstanceName& instance,
+                                    const std::vector<CallId>& calls)
+{
+    for (const auto call : calls)
+    {
+        const auto found = m_byCall.find (call);
+
+        if (found == m_byCall.end())
+            continue;
+
+        const auto id = found->second;
+        auto& request = m_requests.at (id);
+        detach (request);
+        request.m_tried.insert (instance);
+        onNotAnswered (turn, id, { Outcome::notRun, Reason::peerUnreachable, {}, {} });
+    }
+}
+
+void RelayEntry::onPeerLost (Turn& turn, const InstanceName& instance)
+{
+    std::vector<CallId> lost;
+
+    for (const auto& [id, request] : m_requests)
+        if (request.m_instance == instance)
+            lost.push_back (id);
+
+    for (const auto id : lost)
+    {
+        auto& request = m_requests.at (id);
+        detach (request);
+        request.m_tried.insert (instance);
+        onNotAnswered (turn, id, { Outcome::unknown, Reason::peerLost, {}, {} });
+    }
+}
+
+/** The request came back without an answer: another target, or the end. */
+void RelayEntry::onNotAnswered (Turn& turn, CallId id, const RelayResult& result)
+{
+    auto& request = m_requests.at (id);
+    request.m_lastReason = result.m_reason;
+    const bool mayHaveArrived = result.m_outcome == Outcome::unknown || result.m_reason == Reason::targetShed;
+
+    if (mayHaveArrived)
+    {
+        ++request.m_arrivals;
+        request.m_mayHaveRun = request.m_mayHaveRun || result.m_outcome == Outcome::unknown;
+
+        if (! maySendAgain (turn, request, result))
+            return giveUp (turn, id, result.m_reason);
+
+        const auto reason =
+            result.m_outcome == Outcome::unknown ? RetryReason::connectionLost : RetryReason::notRun;
+        ++turn.counters().m_retries[reason];
+        turn.emit (LogDecision { Decision::requestSentAgain,
+                                 request.m_content.m_id,
+                                 { { "reason", std::string (nameOf (result.m_reason)) },
+                                   { "arrivals", fmt::format ("{}", request.m_arrivals) } } });
+        return send (turn, id);
+    }
+
+    ++turn.counters().m_redirects;
+    const bool isFull = result.m_reason == Reason::overloaded || result.m_reason == Reason::queueFull;
+
+    if (isFull && ++request.m_redirects > mostRedirects)
+        return giveUp (turn, id, result.m_reason);
+
+    send (turn, id);
+}
+
+bool RelayEntry::maySendAgain (Turn& turn, const Request& request, const RelayResult& result)
+{
+    const auto denied = [&] (RetryDenied why) {
+        ++turn.counters().m_retriesDenied[why];
+        return false;
+    };
+
+    if (result.m_outcome == Outcome::unknown && ! request.m_route.m_isRepeatable)
+        return denied (RetryDenied::notRepeatable);
+
+    if (request.m_arrivals >= request.m_route.m_mostAttempts)
+        return denied (RetryDenied::budgetSpent);
+
+    if (request.m_deadline - turn.now() < leastTimeForRetry)
+        return denied (RetryDenied::noTime);
+
+    const auto& demand = m_parts.m_calls.demandOf (request.m_route.m_name);
+    return m_tokens.take (request.m_service, demand, turn.now()) || denied (RetryDenied::throttled);
+}
+
+//==============================================================================
+void RelayEntry::onRequesterGone (Turn& turn, Ticket ticket)
+{
+    const auto found = m_byTicket.find (ticket);
+
+    if (found == m_byTicket.end())
+        return;
+
+    const auto id = found->second;
+    auto& request = m_requests.at (id);
+    withdraw (turn, request);
+
+    if (isLogged (request.m_content.m_id))
+        turn.emit (LogDecision { Decision::requestCancelled,
+                                 request.m_content.m_id,
+                                 { { "waited_ms", milliseconds (turn.now() - request.m_receivedAt) } } });
+
+    ++turn.counters().m_refusals[Reason::cancelled];
+    finish (turn, id, {});
+}
+
+void RelayEntry::onDeadline (Turn& turn, CallId id)
+{
+    const auto found = m_requests.find (id);
+
+    if (found == m_requests.end())
+        return;
+
+    auto& request = found->second;
+    request.m_mayHaveRun = request.m_mayHaveRun || ! request.m_instance.empty();
+    withdraw (turn, request);
+    giveUp (turn, id, Reason::deadlineExceeded);
+}
+
+void RelayEntry::giveUp (Turn& turn, CallId id, Reason reason)
+{
+    auto& request = m_requests.at (id);
+    const auto now = turn.now();
+    RelayResult result { request.m_mayHaveRun ? Outcome::unknown : Outcome::notRun, reason, {}, {} };
+
+    if (! request.m_mayHaveRun)
+        result.m_comeBack = comeBackAfter (turn, request.m_deadline - now);
+
+    ++turn.counters().m_systemAnswers[reason];
+    turn.emit (LogDecision { Decision::requestGivenUp,
+                             request.m_content.m_id,
+                             { { "outcome", std::string (nameOf (result.m_outcome)) },
+                               { "reason", std::string (nameOf (reason)) },
+                               { "route", request.m_route.m_name },
+                               { "service", request.m_service },
+                               { "arrivals", fmt::format ("{}", request.m_arrivals) },
+                               { "nested", request.m_isNested ? "yes" : "no" },
+                               { "tried", fmt::format ("{}", fmt::join (request.m_tried, ",")) },
+                               { "waited_ms", milliseconds (now - request.m_receivedAt) },
+                               { "time_left_ms", milliseconds (request.m_deadline - now) } } });
+    finish (turn, id, std::move (result));
+}
+
+void RelayEntry::finish (Turn& turn, CallId id, RelayResult result)
+{
+    const auto node = m_requests.extract (id);
+    const auto& request = node.mapped();
+    m_byTicket.erase (request.m_ticket);
+    m_held.erase (id);
+    turn.timers().cancel (request.m_deadline, TimerKind::relayDeadline, id);
+    ++turn.counters().m_outcomes[static_cast<std::size_t> (result.m_outcome)];
+
+    if (result.m_outcome == Outcome::completed &&
+        (isLogged (request.m_content.m_id) || result.m_answer.m_status >= serverError))
+        turn.emit (LogDecision { Decision::requestAnswered,
+                                 request.m_content.m_id,
+                                 { { "status", fmt::format ("{}", result.m_answer.m_status) },
+                                   { "route", request.m_route.m_name },
+                                   { "tried", fmt::format ("{}", fmt::join (request.m_tried, ",")) },
+                                   { "took_ms", milliseconds (turn.now() - request.m_receivedAt) } } });
+
+    turn.emit (AnswerRelay { request.m_ticket, std::move (result), isStopping() });
+}
+
+Duration RelayEntry::comeBackAfter (Turn& turn, Duration timeLeft) const
+{
+    // Spread over the later half of the time that callers wait, so that they don't all return at once.
+    const auto longest = std::max (Duration::zero(), timeLeft) / comeBackDivisor;
+    return longest / 2 + Duration (static_cast<Duration::rep> (
+                             turn.random().below (static_cast<std::uint64_t> (longest.count()) / 2 + 1)));
+}
+
+void RelayEntry::onPause (Time now) noexcept
+{
+    m_staleUntil = now + bufferedAfterPause;
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/RelayEntry.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "plankledge_policy/Turn.h"
+#include "plankledge_policy/relay/EntryAdmission.h"
+#include "plankledge_policy/relay/RetryTokens.h"
+#include "plankledge_policy/relay/RouteFollower.h"
+#include "plankledge_policy/relay/TargetGate.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace plankledge
+{
+
+//==============================================================================
+/**
+    Takes requests from the callers of this instance and from its target, and brings each
+    to a target and its answer back.
+
+    A gate's refusal costs nothing and leads to the next one. A second sending that may
+    reach a target needs a token, and is made only if the first is known not to have run or
+    the request may be repeated. A request that is given up on is answered at once.
+
+    @see TargetGate
+*/
+class RelayEntry
+{
+public:
+    //==============================================================================
+    /** What the entry works with; all outlive it. */
+    struct Parts
+    {
+        const RouteFollower& m_routes;
+        PeerTable& m_peers;
+        CallGraph& m_calls;
+        TargetGate& m_gate;
+    };
+
+    RelayEntry (const RelaySettings& settings, const Member& self, Parts parts);
+
+    //==============================================================================
+    void receive (Turn& turn, const RelayRequestReceived& received);
+    void onRequesterGone (Turn& turn, Ticket ticket);
+
+    /** @param from   the instance that answered, this one included */
+    void onAnswer (Turn& turn, const InstanceName& from, const RelayAnswer& answer);
+
+    /** No connection came up: these calls never left this node. */
+    void onPeerUnreachable (Turn& turn, const InstanceName& instance, const std::vector<CallId>& calls);
+
+    /** What was sent to the peer may have arrived. */
+    void onPeerLost (Turn& turn, const InstanceName& instance);
+
+    void onDeadline (Turn& turn, CallId id);
+    void onHoldEnd (Turn& turn, CallId id);
+
+    /** Tries again what waits for a target. */
+    void retryHeld (Turn& turn);
+
+    void onPause (Time now) noexcept;
+
+    /** The process is to end: connections are not kept. */
+    void stop (Time now) noexcept { m_stoppedAt = now; }
+
+    bool isIdle() const noexcept { return m_requests.empty(); }
+    std::size_t size() const noexcept { return m_requests.size(); }
+
+private:
+    //==============================================================================
+    struct Request
+    {
+        Ticket m_ticket = 0;
+        RelayContent m_content;
+        Route m_route;
+        ServiceName m_service;
+        bool m_isNested = false;
+        Time m_receivedAt;
+        Time m_deadline;
+        Time m_holdEnd;
+        std::set<InstanceName> m_tried;
+        std::uint32_t m_arrivals = 0; /**< sendings that may have reached a target */
+        bool m_mayHaveRun = false;    /**< a sending ended without anyone's word that it did not run */
+        unsigned m_redirects = 0;     /**< after refusals that cost nothing */
+        InstanceName m_instance;      /**< where it is now; empty: nowhere */
+        CallId m_call = 0;
+        bool m_isHeld = false;
+        Reason m_lastReason = Reason::noReachableInstance;
+    };
+
+    void refuse (Turn& turn, const RelayRequestReceived& received, Reason reason);
+    const ServiceName& chooseService (const Route& route);
+    Request makeRequest (Turn& turn, const RelayRequestReceived& received, const Route& route);
+    bool isAdmitted (Turn& turn, const Request& request, Duration timeout);
+    void noteNestedCall (Request& request);
+
+    void send (Turn& turn, CallId id);
+    void sendTo (Turn& turn, CallId id, const Peer& peer);
+    void hold (Turn& turn, CallId id);
+    void detach (Request& request);
+    void withdraw (Turn& turn, Request& request);
+    void onNotAnswered (Turn& turn, CallId id, const RelayResult& result);
+    bool maySendAgain (Turn& turn, const Request& request, const RelayResult& result);
+    void giveUp (Turn& turn, CallId id, Reason reason);
+    void finish (Turn& turn, CallId id, RelayResult result);
+    Duration comeBackAfter (Turn& turn, Duration timeLeft) const;
+    bool isStopping() const noexcept { return m_stoppedAt.has_value(); }
+
+    const RelaySettings m_settings;
+    const Member m_self;
+    Parts m_parts;
+    EntryAdmission m_admission;
+    RetryTokens m_tokens;
+    std::map<CallId, Request> m_requests;
+    std::map<Ticket, CallId> m_byTicket;
+    std::map<CallId, CallId> m_byCall; /**< a sending's id to its request's */
+    std::set<CallId> m_held;
+    std::map<RouteName, std::vector<double>> m_shares; /**< what each service of a split route is owed */
+    CallId m_next = 1;
+    Time m_staleUntil;
+    std::optional<Time> m_stoppedAt;
+};
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/RouteFollower.cpp
@@ -0,0 +1,73 @@
+#include "plankledge_policy/relay/RouteFollower.h"
+
+#include <fmt/format.h>
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** A pull that was not answered by then is sent to the next peer that has the version. */
+constexpr Duration pullPatience = Milliseconds (200);
+
+} // namespace
+
+//==============================================================================
+RouteFollower::RouteFollower (RouteTableParser parser, std::function<void()> onInForce)
+    : m_parser (std::move (parser))
+    , m_onInForce (std::move (onInForce))
+{
+}
+
+void RouteFollower::onText (Turn& turn, const std::string& text, const std::string& source)
+{
+    if (text == m_text)
+        return;
+
+    auto table = m_parser (text);
+
+    if (! table.ok())
+    {
+        ++turn.counters().m_invalidConfigurations;
+        turn.emit (
+            LogDecision { Decision::routesInvalid,
+                          {},
+                          { { "source", source }, { "error", std::string (table.status().message()) } } });
+        return;
+    }
+
+    if (table->version() <= version())
+        return;
+
+    turn.emit (LogDecision { Decision::routesInForce,
+                             {},
+                             { { "version", fmt::format ("{}", table->version()) },
+                               { "before", fmt::format ("{}", version()) },
+                               { "source", source } } });
+    m_table = *std::move (table);
+    m_text = text;
+    m_onInForce();
+}
+
+void RouteFollower::onPeerVersion (Turn& turn, const InstanceName& peer, const Endpoint& endpoint,
+                                   ConfigurationVersion peerVersion)
+{
+    if (peerVersion <= version())
+        return;
+
+    if (m_pulledVersion >= peerVersion && turn.now() - m_pulledAt < pullPatience)
+        return;
+
+    m_pulledVersion = peerVersion;
+    m_pulledAt = turn.now();
+    turn.emit (SendToPeer { peer, endpoint, RoutesPull { version() } });
+}
+
+void RouteFollower::onPull (Turn& turn, LinkId link, const InstanceName& peer, const RoutesPull& pull) const
+{
+    if (version() > pull.m_have)
+        turn.emit (ReplyOnLink { link, peer, RoutesText { m_text } });
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/RouteTable.cpp
@@ -0,0 +1,55 @@
+#include "plankledge_policy/relay/RouteTable.h"
+
+#include <algorithm>
+
+namespace plankledge
+{
+
+RouteTable::RouteTable (ConfigurationVersion version, Hosts hosts)
+    : m_version (version)
+    , m_hosts (std::move (hosts))
+{
+    for (const auto& [host, routes] : m_hosts)
+        for (const auto& [prefix, route] : routes)
+            m_priorities.push_back (route.m_priority);
+
+    std::sort (m_priorities.begin(), m_priorities.end());
+    m_priorities.erase (std::unique (m_priorities.begin(), m_priorities.end()), m_priorities.end());
+}
+
+const Route* RouteTable::find (std::string_view host, std::string_view path) const noexcept
+{
+    const auto routes = m_hosts.find (host);
+
+    if (routes == m_hosts.end())
+        return nullptr;
+
+    path = path.substr (0, path.find ('?'));
+
+    // Prefixes end with a slash, so only the path up to each of its slashes can be one.
+    for (auto slash = path.rfind ('/'); slash != std::string_view::npos; slash = path.rfind ('/', slash - 1))
+    {
+        const auto found = routes->second.find (path.substr (0, slash + 1));
+
+        if (found != routes->second.end())
+            return &found->second;
+
+        if (slash == 0)
+            break;
+    }
+
+    return nullptr;
+}
+
+double RouteTable::placeOfPriority (std::uint32_t priority) const noexcept
+{
+    const auto place = std::lower_bound (m_priorities.begin(), m_priorities.end(), priority);
+    return static_cast<double> (place - m_priorities.begin()) * widthOfPriority();
+}
+
+double RouteTable::widthOfPriority() const noexcept
+{
+    return 1.0 / static_cast<double> (std::max<std::size_t> (1, m_priorities.size()));
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/TargetChoice.cpp
@@ -0,0 +1,77 @@
+#include "plankledge_policy/relay/TargetChoice.h"
+
+#include <algorithm>
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** What another zone costs at least, as time: the round trip, and its bytes are dear on short calls, too. */
+constexpr Duration leastZonePenalty = Milliseconds (25);
+
+/** What another zone costs, as part of the objective. */
+constexpr int zonePenaltyDivisor = 10;
+
+/** Expected times are made longer at random by up to this, in percent. */
+constexpr std::uint64_t spreadPercent = 10;
+
+constexpr double permille = 1000.0;
+
+Duration scaled (Duration duration, double factor) noexcept
+{
+    return Duration (static_cast<Duration::rep> (static_cast<double> (duration.count()) * factor));
+}
+
+Duration penaltyOf (const Peer& peer, const ChoiceNeeds& needs) noexcept
+{
+    const auto failures = scaled (needs.m_latencyObjective, peer.m_gate.m_failurePermille / permille);
+
+    if (peer.m_member.m_zone == needs.m_zone)
+        return failures;
+
+    return failures + std::max (leastZonePenalty, needs.m_latencyObjective / zonePenaltyDivisor);
+}
+
+} // namespace
+
+//==============================================================================
+Duration expectedCompletion (const Peer& peer) noexcept
+{
+    const auto& gate = peer.m_gate;
+    const auto limit = std::max<std::uint32_t> (1, gate.m_limit);
+    const auto load = peer.load() + 1;
+
+    if (load <= limit)
+        return gate.m_serviceTime;
+
+    const auto rounds = 1.0 + static_cast<double> (load - limit) / static_cast<double> (limit);
+    return scaled (gate.m_serviceTime, rounds);
+}
+
+const Peer* chooseTarget (const std::vector<const Peer*>& candidates, const ChoiceNeeds& needs,
+                          Random& random)
+{
+    const Peer* best = nullptr;
+    Duration bestCost {};
+
+    for (const auto* peer : candidates)
+    {
+        if (needs.m_tried.contains (peer->m_member.m_id.m_instance))
+            continue;
+
+        const auto spread = 1.0 + static_cast<double> (random.below (spreadPercent)) / 100.0;
+        const auto cost = scaled (expectedCompletion (*peer), spread) + penaltyOf (*peer, needs);
+
+        if (best != nullptr && cost >= bestCost)
+            continue;
+
+        best = peer;
+        bestCost = cost;
+    }
+
+    return best;
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -0,0 +1,409 @@
+#include "plankledge_policy/relay/TargetGate.h"
+
+#include "plankledge_policy/relay/RequestIds.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** The part of the target's slots that is used: some targets slow down when nearly full, and a new
+   connection may hold a slot for a moment. */
+constexpr double usedSlots = 0.94;
+
+/** Weight of a new observation in the moving averages of service time and failures. */
+constexpr double weightOfNew = 0.05;
+
+/** Failures are forgotten by this in each window, so that a target which gets no requests any more is tried
+   again: half in 2.3 s. */
+constexpr double failuresKept = 0.97;
+
+/** After a refused connection the target is left alone for so long; it may be restarting. */
+constexpr Duration pauseAfterRefusedConnection = Milliseconds (200);
+
+/** The target ends a request by itself at its deadline; its own answer gets this long to arrive. */
+constexpr Duration deadlineMargin = Milliseconds (100);
+
+/** More than so many rounds of waiting requests are never kept, whatever they would wait. */
+constexpr std::size_t mostQueuedRounds = 8;
+
+constexpr std::uint16_t serverError = 500;
+
+RelayResult refusal (Reason reason)
+{
+    return { Outcome::notRun, reason, {}, {} };
+}
+
+Duration toDuration (double microseconds) noexcept
+{
+    return Duration (static_cast<Duration::rep> (microseconds));
+}
+
+} // namespace
+
+//==============================================================================
+TargetGate::TargetGate (const RelaySettings& settings, Hooks hooks)
+    : m_settings (settings)
+    , m_hooks (std::move (hooks))
+    , m_target (settings.m_announcementPeriod)
+{
+}
+
+//==============================================================================
+void TargetGate::receive (Turn& turn, const GateCaller& caller, RelayRequest request)
+{
+    const auto id = m_next++;
+    Call call { caller, std::move (request), turn.now(), {}, {}, false };
+    call.m_deadline = turn.now() + call.m_request.m_timeLeft;
+
+    if (const auto reason = refusalOf (turn, id, call); reason != Reason::none)
+    {
+        if (reason == Reason::overloaded)
+            m_level.onWait (expectedWait (id, call));
+
+        turn.emit (LogDecision {
+            Decision::gateRefused,
+            call.m_request.m_content.m_id,
+            { { "reason", std::string (nameOf (reason)) },
+              { "running", fmt::format ("{}", m_running) },
+              { "queued", fmt::format ("{}", m_queue.size()) },
+              { "limit", fmt::format ("{}", limit()) },
+              { "expected_wait_ms", fmt::format ("{}", toMilliseconds (expectedWait (id, call))) },
+              { "time_left_ms", fmt::format ("{}", toMilliseconds (call.m_request.m_timeLeft)) } } });
+        ++turn.counters().m_refusals[reason];
+        return answer (turn, caller, refusal (reason));
+    }
+
+    turn.timers().set (call.m_deadline + deadlineMargin, TimerKind::gateDeadline, id);
+    turn.timers().set (turn.now() + call.m_request.m_longestQueueing, TimerKind::gateHold, id);
+    m_byCaller[caller] = id;
+    m_queue[keyOf (id, call)] = id;
+    m_calls.emplace (id, std::move (call));
+    dispatchNext (turn);
+}
+
+TargetGate::QueueKey TargetGate::keyOf (CallId id, const Call& call) noexcept
+{
+    return { ! call.m_request.m_isNested, call.m_request.m_urgency, id };
+}
+
+std::uint32_t TargetGate::limit() const noexcept
+{
+    return std::max (1U, static_cast<std::uint32_t> (m_target.slots() * usedSlots));
+}
+
+Duration TargetGate::expectedWait (CallId id, const Call& call) const noexcept
+{
+    if (m_running < limit())
+        return {};
+
+    const auto ahead = std::distance (m_queue.begin(), m_queue.lower_bound (keyOf (id, call)));
+    return toDuration (m_serviceTime * static_cast<double> (ahead + 1) / limit());
+}
+
+Reason TargetGate::refusalOf (Turn& turn, CallId id, const Call& call) const noexcept
+{
+    const auto& request = call.m_request;
+
+    if (m_isStopping || m_target.isLeaving())
+        return Reason::draining;
+
+    if (! m_isOpen || request.m_service != m_target.service())
+        return Reason::targetNotReady;
+
+    if (call.m_deadline <= turn.now())
+        return Reason::deadlineExceeded;
+
+    if (m_queue.size() >= limit() * mostQueuedRounds)
+        return Reason::queueFull;
+
+    return expectedWait (id, call) > request.m_longestQueueing ? Reason::overloaded : Reason::none;
+}
+
+//==============================================================================
+void TargetGate::dispatchNext (Turn& turn)
+{
+    while (m_isOpen && m_running < limit() && ! m_queue.empty())
+    {
+        const auto id = m_queue.begin()->second;
+        m_queue.erase (m_queue.begin());
+        dispatch (turn, id);
+    }
+}
+
+void TargetGate::dispatch (Turn& turn, CallId id)
+{
+    auto& call = m_calls.at (id);
+    const auto& request = call.m_request;
+    const auto waited = turn.now() - call.m_receivedAt;
+    call.m_isDispatched = true;
+    call.m_dispatchedAt = turn.now();
+    ++m_running;
+    ++turn.counters().m_dispatches;
+    m_level.onWait (waited);
+    m_byRequest[request.m_content.m_id] = id;
+    m_graph.onRequest (request.m_route);
+
+    if (isLogged (request.m_content.m_id))
+        turn.emit (LogDecision { Decision::gateDispatched,
+                                 request.m_content.m_id,
+                                 { { "target", m_target.id() },
+                                   { "waited_ms", fmt::format ("{}", toMilliseconds (waited)) },
+                                   { "running", fmt::format ("{}", m_running) } } });
+
+    turn.emit (RelayToTarget { id, request.m_content, request.m_callerService, m_target.id(),
+                               m_target.endpoint(), call.m_deadline - turn.now() });
+}
+
+//==============================================================================
+void TargetGate::onReply (Turn& turn, const TargetReply& reply)
+{
+    if (! m_calls.contains (reply.m_call))
+        return;
+
+    const auto call = take (turn, reply.m_call);
+    const bool isWhole = reply.m_kind == TargetReplyKind::answered;
+    const bool isFailure = ! isWhole || reply.m_answer.m_status >= serverError;
+    RelayResult result;
+
+    switch (reply.m_kind)
+    {
+    case TargetReplyKind::answered:
+        result = { Outcome::completed, Reason::none, reply.m_answer, {} };
+        break;
+    case TargetReplyKind::rejected:
+        result = refusal (Reason::targetShed);
+        break;
+    case TargetReplyKind::notSent:
+        result = refusal (Reason::targetRefusedConnection);
+        m_shutUntil = turn.now() + pauseAfterRefusedConnection;
+        break;
+    case TargetReplyKind::broken:
+        result = { Outcome::unknown, Reason::targetBroken, {}, {} };
+        break;
+    }
+
+    learn (call, turn.now(), isFailure);
+
+    if (! isWhole)
+        turn.emit (LogDecision {
+            Decision::gateEnded,
+            call.m_request.m_content.m_id,
+            { { "reason", std::string (nameOf (result.m_reason)) },
+              { "target", m_target.id() },
+              { "ran_ms", fmt::format ("{}", toMilliseconds (turn.now() - call.m_dispatchedAt)) } } });
+
+    updateOpen (turn);
+    answer (turn, call.m_caller, std::move (result));
+    dispatchNext (turn);
+}
+
+void TargetGate::learn (const Call& call, Time now, bool isFailure) noexcept
+{
+    m_failures += ((isFailure ? 1.0 : 0.0) - m_failures) * weightOfNew;
+
+    if (isFailure)
+        return;
+
+    const auto took = static_cast<double> ((now - call.m_dispatchedAt).count());
+    m_serviceTime += (took - m_serviceTime) * (m_serviceTime > 0.0 ? weightOfNew : 1.0);
+}
+
+void TargetGate::onAnnounced (Turn& turn, const TargetAnnounced& announced)
+{
+    const auto change = m_target.onAnnounced (announced, turn.now());
+
+    if (change != OwnTarget::Change::none)
+        turn.emit (LogDecision { Decision::targetAnnounced,
+                                 {},
+                                 { { "target", announced.m_target },
+                                   { "service", m_target.service() },
+                                   { "slots", fmt::format ("{}", m_target.slots()) },
+                                   { "state", m_target.isLeaving() ? "leaving" : "serving" } } });
+
+    if (change == OwnTarget::Change::newLife)
+    {
+        m_serviceTime = 0.0;
+        m_failures = 0.0;
+    }
+
+    updateOpen (turn);
+    dispatchNext (turn);
+}
+
+//==============================================================================
+void TargetGate::cancel (Turn& turn, const GateCaller& caller)
+{
+    const auto found = m_byCaller.find (caller);
+
+    if (found == m_byCaller.end())
+        return;
+
+    const auto id = found->second;
+    const auto call = take (turn, id);
+
+    if (call.m_isDispatched)
+        turn.emit (AbandonTarget { id });
+
+    dispatchNext (turn);
+}
+
+void TargetGate::onLinkClosed (Turn& turn, LinkId link)
+{
+    std::vector<GateCaller> callers;
+
+    for (auto found = m_byCaller.lower_bound ({ link, {}, 0 });
+         found != m_byCaller.end() && found->first.m_link == link; ++found)
+        callers.push_back (found->first);
+
+    for (const auto& caller : callers)
+        cancel (turn, caller);
+}
+
+void TargetGate::onDeadline (Turn& turn, CallId id)
+{
+    const auto found = m_calls.find (id);
+
+    if (found == m_calls.end())
+        return;
+
+    if (! found->second.m_isDispatched)
+        return finish (turn, id, refusal (Reason::deadlineExceeded));
+
+    learn (found->second, turn.now(), true);
+    turn.emit (AbandonTarget { id });
+    finish (turn, id, { Outcome::unknown, Reason::deadlineExceeded, {}, {} });
+}
+
+void TargetGate::onHoldEnd (Turn& turn, CallId id)
+{
+    const auto found = m_calls.find (id);
+
+    if (found == m_calls.end() || found->second.m_isDispatched)
+        return;
+
+    m_level.onWait (turn.now() - found->second.m_receivedAt);
+    finish (turn, id, refusal (Reason::overloaded));
+}
+
+void TargetGate::onWindowEnd (Turn& turn)
+{
+    const auto before = m_level.permille();
+    Duration oldest {};
+
+    for (const auto& [key, id] : m_queue)
+        oldest = std::max (oldest, Duration (turn.now() - m_calls.at (id).m_receivedAt));
+
+    m_level.onWindowEnd (oldest);
+    m_failures *= failuresKept;
+    updateOpen (turn);
+    dispatchNext (turn);
+
+    // One line for each tenth that the level moved through.
+    if (before / 100 != m_level.permille() / 100)
+        turn.emit (LogDecision { Decision::admissionMoved,
+                                 {},
+                                 { { "admitted_permille", fmt::format ("{}", m_level.permille()) },
+                                   { "queued", fmt::format ("{}", m_queue.size()) },
+                                   { "service_time_ms", fmt::format ("{:.1f}", m_serviceTime / 1000.0) } } });
+}
+
+void TargetGate::stop (Turn& turn)
+{
+    m_isStopping = true;
+    updateOpen (turn);
+}
+
+void TargetGate::updateOpen (Turn& turn)
+{
+    const bool isOpen = ! m_isStopping && m_target.isServing (turn.now()) && turn.now() >= m_shutUntil;
+
+    if (isOpen == m_isOpen)
+        return;
+
+    m_isOpen = isOpen;
+
+    if (! m_isOpen)
+        refuseQueue (turn, m_isStopping || m_target.isLeaving() ? Reason::draining : Reason::targetNotReady);
+
+    m_hooks.m_onMoved (turn);
+}
+
+void TargetGate::refuseQueue (Turn& turn, Reason reason)
+{
+    while (! m_queue.empty())
+    {
+        const auto id = m_queue.begin()->second;
+        finish (turn, id, refusal (reason));
+    }
+}
+
+//==============================================================================
+TargetGate::Call TargetGate::take (Turn& turn, CallId id)
+{
+    auto node = m_calls.extract (id);
+    auto& call = node.mapped();
+    m_byCaller.erase (call.m_caller);
+    m_queue.erase (keyOf (id, call));
+    turn.timers().cancel (call.m_deadline + deadlineMargin, TimerKind::gateDeadline, id);
+    turn.timers().cancel (call.m_receivedAt + call.m_request.m_longestQueueing, TimerKind::gateHold, id);
+
+    if (call.m_isDispatched)
+    {
+        --m_running;
+        m_byRequest.erase (call.m_request.m_content.m_id);
+    }
+
+    return std::move (call);
+}
+
+void TargetGate::finish (Turn& turn, CallId id, RelayResult result)
+{
+    const auto call = take (turn, id);
+    turn.emit (LogDecision {
+        Decision::gateEnded,
+        call.m_request.m_content.m_id,
+        { { "reason", std::string (nameOf (result.m_reason)) },
+          { "dispatched", call.m_isDispatched ? "yes" : "no" },
+          { "in_gate_ms", fmt::format ("{}", toMilliseconds (turn.now() - call.m_receivedAt)) } } });
+    ++turn.counters().m_refusals[result.m_reason];
+    answer (turn, call.m_caller, std::move (result));
+}
+
+void TargetGate::answer (Turn& turn, const GateCaller& caller, RelayResult result)
+{
+    RelayAnswer message { caller.m_call, std::move (result), status() };
+
+    if (caller.m_link == 0)
+        m_hooks.m_answerLocally (turn, message);
+    else
+        turn.emit (ReplyOnLink { caller.m_link, caller.m_instance, std::move (message) });
+}
+
+//==============================================================================
+const RouteName* TargetGate::findRunning (std::string_view requestId) const noexcept
+{
+    const auto found = m_byRequest.find (requestId);
+    return found == m_byRequest.end() ? nullptr : &m_calls.at (found->second).m_request.m_route;
+}
+
+void TargetGate::onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service)
+{
+    m_graph.onCall (caller, callee, service);
+}
+
+GateStatus TargetGate::status() const noexcept
+{
+    return { m_isOpen,
+             limit(),
+             static_cast<std::uint32_t> (m_calls.size()),
+             toDuration (m_serviceTime),
+             static_cast<std::uint16_t> (m_failures * 1000.0),
+             m_level.permille() };
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/TargetGate.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "plankledge_policy/Turn.h"
+#include "plankledge_policy/relay/AdmissionLevel.h"
+#include "plankledge_policy/relay/CallGraph.h"
+#include "plankledge_policy/relay/OwnTarget.h"
+#include "plankledge_policy/relay/RelaySettings.h"
+
+#include <functional>
+#include <map>
+#include <tuple>
+
+namespace plankledge
+{
+
+/** Who waits for the answer of a call at the gate. */
+struct GateCaller
+{
+    LinkId m_link = 0; /**< the connection that the peer opened; 0: this node itself */
+    InstanceName m_instance;
+    CallId m_call = 0;
+
+    auto operator<=> (const GateCaller&) const = default;
+};
+
+//==============================================================================
+/**
+    Stands in front of the own target: all requests for it pass here, from every node.
+
+    It keeps the target's own queue empty. What has no slot waits here, calls for requests
+    that run already first, then by urgency; what can't have a slot in time is refused
+    before it costs anything. Once the target has said that it leaves, or this node stops,
+    nothing new is taken.
+
+    @see RelayEntry
+*/
+class TargetGate
+{
+public:
+    //==============================================================================
+    struct Hooks
+    {
+        /** The answer of a call that this node sent to its own gate. */
+        std::function<void (Turn&, const RelayAnswer&)> m_answerLocally;
+
+        /** The gate opened or shut. */
+        std::function<void (Turn&)> m_onMoved;
+    };
+
+    TargetGate (const RelaySettings& settings, Hooks hooks);
+
+    //==============================================================================
+    /** Takes in a request; its time left is as it is now. */
+    void receive (Turn& turn, const GateCaller& caller, RelayRequest request);
+
+    void cancel (Turn& turn, const GateCaller& caller);
+    void onLinkClosed (Turn& turn, LinkId link);
+    void onReply (Turn& turn, const TargetReply& reply);
+    void onAnnounced (Turn& turn, const TargetAnnounced& announced);
+    void onDeadline (Turn& turn, CallId id);
+    void onHoldEnd (Turn& turn, CallId id);
+    void onWindowEnd (Turn& turn);
+
+    /** Takes nothing new any more; what runs is finished. */
+    void stop (Turn& turn);
+
+    //==============================================================================
+    /** @returns the route of a request that runs at the target, or nullptr */
+    const RouteName* findRunning (std::string_view requestId) const noexcept;
+
+    /** A request that runs at the target made a call. */
+    void onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service);
+
+    GateStatus status() const noexcept;
+    std::vector<CallEdge> callEdges() const { return m_graph.ownEdges(); }
+    const OwnTarget& target() const noexcept { return m_target; }
+    bool isIdle() const noexcept { return m_calls.empty(); }
+    std::size_t running() const noexcept { return m_running; }
+    std::size_t queued() const noexcept { return m_queue.size(); }
+
+private:
+    //==============================================================================
+    /** The order of the queue: calls of running requests, urgency, arrival. */
+    using QueueKey = std::tuple<bool, std::uint16_t, CallId>;
+
+    struct Call
+    {
+        GateCaller m_caller;
+        RelayRequest m_request;
+        Time m_receivedAt;
+        Time m_deadline;
+        Time m_dispatchedAt;
+        bool m_isDispatched = false;
+    };
+
+    static QueueKey keyOf (CallId id, const Call& call) noexcept;
+    std::uint32_t limit() const noexcept;
+    Duration expectedWait (CallId id, const Call& call) const noexcept;
+    Reason refusalOf (Turn& turn, CallId id, const Call& call) const noexcept;
+    void dispatchNext (Turn& turn);
+    void dispatch (Turn& turn, CallId id);
+    void refuseQueue (Turn& turn, Reason reason);
+    void finish (Turn& turn, CallId id, RelayResult result);
+    void answer (Turn& turn, const GateCaller& caller, RelayResult result);
+    Call take (Turn& turn, CallId id);
+    void learn (const Call& call, Time now, bool isFailure) noexcept;
+    void updateOpen (Turn& turn);
+
+    const RelaySettings m_settings;
+    Hooks m_hooks;
+    OwnTarget m_target;
+    AdmissionLevel m_level;
+    CallGraph m_graph;
+    std::map<CallId, Call> m_calls;
+    std::map<GateCaller, CallId> m_byCaller;
+    std::map<std::string, CallId, std::less<>> m_byRequest; /**< those that run */
+    std::map<QueueKey, CallId> m_queue;
+    std::size_t m_running = 0;
+    CallId m_next = 1;
+    double m_serviceTime = 0.0; /**< microseconds, moving average */
+    double m_failures = 0.0;    /**< share of recent answers */
+    Time m_shutUntil;           /**< after a connection was refused */
+    bool m_isOpen = false;
+    bool m_isStopping = false;
+};
+
+} // namespace plankledge
--- a/modules/plankledge_policy/RetryDecision.cpp
+++ b/modules/plankledge_policy/retries/RetryDecision.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/RetryDecision.h"
+#include "plankledge_policy/retries/RetryDecision.h"
 
 namespace plankledge
 {
--- a/modules/plankledge_policy/RetryDecision.h
+++ b/modules/plankledge_policy/retries/RetryDecision.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "plankledge_policy/RetryBudget.h"
-#include "plankledge_policy/RetryThrottle.h"
 #include "plankledge_policy/Turn.h"
+#include "plankledge_policy/retries/RetryBudget.h"
+#include "plankledge_policy/retries/RetryThrottle.h"
 #include <map>
 
 namespace plankledge
--- a/modules/plankledge_policy/Router.cpp
+++ b/modules/plankledge_policy/routing/Router.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/Router.h"
+#include "plankledge_policy/routing/Router.h"
 
 #include "plankledge_core/Hash.h"
 #include <algorithm>
--- /dev/null
+++ b/modules/plankledge_runtime/CallerEdge.cpp
@@ -0,0 +1,77 @@
+#include "plankledge_runtime/CallerEdge.h"
+
+namespace plankledge
+{
+
+HttpResponse makeHttpError (HttpServerError error)
+{
+    const bool isTooLarge = error != HttpServerError::malformed;
+    return makeProblem (isTooLarge ? 413 : 400, Outcome::notRun,
+                        plankledge::nameOf (isTooLarge ? Reason::requestTooLarge : Reason::badRequest));
+}
+
+//==============================================================================
+CallerEdge::CallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics)
+    : m_node (node)
+    , m_metrics (metrics)
+    , m_callerServer (context, hooks (false))
+    , m_outboundServer (context, hooks (true))
+{
+}
+
+HttpServer::Hooks CallerEdge::hooks (bool isOutbound)
+{
+    return { [this, isOutbound] (HttpRequest request, HttpServer::Respond respond) {
+                return onRequest (std::move (request), std::move (respond), isOutbound);
+            },
+             [this] (HttpServerError error) {
+                 ++m_metrics.m_badHttp[error];
+                 return makeHttpError (error);
+             } };
+}
+
+absl::Status CallerEdge::listen (const Endpoint& callers, const Endpoint& outbound)
+{
+    auto status = m_outboundServer.listen (outbound);
+    status.Update (m_callerServer.listen (callers));
+    return status;
+}
+
+std::function<void()> CallerEdge::onRequest (HttpRequest request, HttpServer::Respond respond,
+                                             bool isOutbound)
+{
+    auto parsed = readCallerRequest (std::move (request), isOutbound);
+
+    if (const auto* error = std::get_if<CallerError> (&parsed))
+    {
+        ++m_metrics.m_badRequests[*error];
+        respond (makeBadRequest (*error));
+        return {};
+    }
+
+    auto received = std::get<RequestReceived> (std::move (parsed));
+    const auto ticket = m_node.newTicket();
+    received.m_ticket = ticket;
+    m_waiting[ticket] = { std::move (respond), BootClock::now() };
+    m_node.submit (std::move (received));
+
+    return [this, ticket] {
+        if (m_waiting.erase (ticket) > 0)
+            m_node.submit (RequesterGone { ticket });
+    };
+}
+
+void CallerEdge::carryOut (const AnswerRequest& effect)
+{
+    const auto found = m_waiting.find (effect.m_ticket);
+
+    if (found == m_waiting.end())
+        return;
+
+    m_metrics.m_requestTime.add (BootClock::now() - found->second.m_since);
+    const auto respond = std::move (found->second.m_respond);
+    m_waiting.erase (found);
+    respond (makeCallerResponse (effect.m_result));
+}
+
+} // namespace plankledge
--- a/modules/plankledge_runtime/HttpClient.cpp
+++ b/modules/plankledge_runtime/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/HttpClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +25,9 @@
 constexpr auto asTuple = asio::as_tuple (asio::use_awaitable);
 constexpr std::size_t maximumAnswerBytes = 16U << 20U;
 
+/** A connection that is not up by then won't come: a lost opening packet is sent again after a second. */
+constexpr Duration connectLimit = Milliseconds (1500);
+
 absl::Status toStatus (const beast::error_code& error)
 {
     if (error == beast::error::timeout)
@@ -35,7 +39,7 @@
 asio::awaitable<void> run (Endpoint endpoint, HttpRequest request, Duration timeout, HttpClient::Done done)
 {
     beast::tcp_stream stream (co_await asio::this_coro::executor);
-    stream.expires_after (timeout);
+    stream.expires_after (std::min (timeout, connectLimit));
     beast::error_code addressError;
     const auto address = asio::ip::make_address (endpoint.m_ip, addressError);
 
@@ -48,6 +52,7 @@
     if (connectError)
         co_return done (absl::UnavailableError (connectError.message()));
 
+    stream.expires_after (timeout);
     auto message = toMessage (std::move (request), endpoint);
     message.keep_alive (false);
     const auto [writeError, written] = co_await http::async_write (stream, message, asTuple);
--- a/modules/plankledge_runtime/HttpMessages.cpp
+++ b/modules/plankledge_runtime/HttpMessages.cpp
@@ -13,13 +13,15 @@
     message.version (11);
     message.method_string (request.m_method);
     message.target (request.m_target);
-    message.set (http::field::host, fmt::format ("{}:{}", endpoint.m_ip, endpoint.m_port));
+
+    if (findHeader (request.m_headers, "Host").empty())
+        message.set (http::field::host, fmt::format ("{}:{}", endpoint.m_ip, endpoint.m_port));
 
     if (! request.m_contentType.empty())
         message.set (http::field::content_type, request.m_contentType);
 
     for (const auto& [name, value] : request.m_headers)
-        message.set (name, value);
+        message.insert (name, value);
 
     message.body() = std::move (request.m_body);
     message.prepare_payload();
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -70,7 +70,7 @@
         message.set (http::field::content_type, response.m_contentType);
 
     for (const auto& [name, value] : response.m_headers)
-        message.set (name, value);
+        message.insert (name, value);
 
     message.body() = std::move (response.m_body);
     message.keep_alive (keepAlive);
--- /dev/null
+++ b/modules/plankledge_runtime/LogEdge.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/NodeMetrics.h"
+#include "plankledge_runtime/PlatformClient.h"
+
+namespace plankledge
+{
+
+//==============================================================================
+/** Where a node meets the platform of the project's own interface: its log and its list of instances. */
+class LogEdge
+{
+public:
+    //==============================================================================
+    LogEdge (boost::asio::io_context& context, Node& node, const Endpoint& platform, const InstanceName& self,
+             NodeMetrics& metrics);
+
+    void carryOut (const FetchList& effect);
+    void carryOut (const ReadLog& effect);
+    void carryOut (const AppendJoin& effect);
+    void carryOut (const AppendCheckpoint& effect);
+
+    /** @returns bytes of requests and answers since the start */
+    std::uint64_t bytes() const noexcept { return m_client.bytes(); }
+
+private:
+    //==============================================================================
+    void onPage (const ReadLog& read, const absl::StatusOr<LogPage>& page);
+    void note (const absl::Status& status);
+
+    Node& m_node;
+    const InstanceName m_self;
+    NodeMetrics& m_metrics;
+    PlatformClient m_client;
+};
+
+} // namespace plankledge
--- a/modules/plankledge_runtime/Node.h
+++ b/modules/plankledge_runtime/Node.h
@@ -2,123 +2,108 @@
 
 #include "plankledge_core/Logger.h"
 #include "plankledge_policy/Reducer.h"
-#include "plankledge_runtime/CallerHttp.h"
-#include "plankledge_runtime/HttpServer.h"
-#include "plankledge_runtime/NodeMetrics.h"
-#include "plankledge_runtime/PeerLinks.h"
-#include "plankledge_runtime/PlatformClient.h"
-#include "plankledge_runtime/RumourSocket.h"
-#include "plankledge_runtime/TargetClient.h"
 #include "plankledge_runtime/TraceFile.h"
+
 #include <deque>
+#include <functional>
 #include <memory>
+#include <vector>
+
+namespace boost::asio
+{
+class io_context;
+}
 
 namespace plankledge
 {
 
-//==============================================================================
-/** Where a node listens and whom it talks to, besides what its decisions depend on. */
-struct NodeOptions
+/** Carries out effects of some kinds; returns whether the effect was of one of them. */
+using EffectHandler = std::function<bool (const Effect&)>;
+
+/** @returns a handler for all effects that the edge has a carryOut() for; the edge must outlive it */
+template <class Edge> EffectHandler handlerOf (Edge& edge)
 {
-    NodeSettings m_settings;
-    Endpoint m_callerEndpoint;
-    Endpoint m_outboundEndpoint;
-    Endpoint m_adminEndpoint;
-    Endpoint m_target;
-    Endpoint m_platform;
-    std::string m_tracePath; /**< empty: no trace */
-};
+    return [&edge] (const Effect& effect) {
+        const auto tryOne = [&edge] (const auto& value) {
+            if constexpr (requires { edge.carryOut (value); })
+            {
+                edge.carryOut (value);
+                return true;
+            }
+            else
+            {
+                return false;
+            }
+        };
+        return std::visit (tryOne, effect);
+    };
+}
 
 //==============================================================================
 /**
-    One node process: turns sockets and timers into events for its reducer and
-    carries out the effects, all in one thread.
+    One node process: leads events to its reducer and the effects to its edges, all in one
+    thread. An edge is whatever meets the world outside: callers, the target, peers, the
+    store.
 
-    @see Reducer
+    @see Reducer, KeyedNode
 */
 class Node
 {
 public:
     //==============================================================================
-    Node (boost::asio::io_context& context, const NodeOptions& options, Logger& logger);
+    Node (boost::asio::io_context& context, std::unique_ptr<Reducer> reducer, Logger& logger);
     ~Node();
 
     Node (const Node&) = delete;
     Node& operator= (const Node&) = delete;
 
-    /** Binds all addresses and begins.
+    /** Adds an edge; each effect goes to the first that takes it. */
+    void addEdge (EffectHandler handler) { m_edges.push_back (std::move (handler)); }
+
+    /** Calls this when the process is about to end, before what was written last is flushed. */
+    void onExit (std::function<void()> call) { m_onExit.push_back (std::move (call)); }
+
+    /** Records all events from the start on. */
+    void recordTo (std::unique_ptr<TraceWriter> trace, const NodeSettings& settings);
+
+    /** Begins the reducer's life; all edges must be there. */
+    void start();
 
-        @returns the first error
-    */
-    absl::Status start();
+    /** Takes in an event; may be called from within an effect. */
+    void submit (EventBody body);
 
     /** Begins a planned stop; the context stops once it is done. */
-    void requestStop();
+    void requestStop() { submit (StopRequested {}); }
+
+    const Reducer& reducer() const noexcept { return *m_reducer; }
+    Logger& logger() noexcept { return m_logger; }
+
+    /** @returns a name for a request that waits at an edge */
+    Ticket newTicket() noexcept { return m_nextTicket++; }
 
 private:
     //==============================================================================
     struct Timers;
 
-    void submit (EventBody body);
     void applyOne (EventBody body);
+    void carryOutAll (const Effects& effects);
+    void carryOutOne (const Effect& effect);
+    void exit();
     void armTimer();
-    void probeTarget();
-    void observeTarget (TargetState state);
-    void noteTargetWord (const HttpResponse& response);
-    void onTargetDone (CallId call, TargetClient::Answer answer);
-    std::function<void()> onRequest (HttpRequest request, HttpServer::Respond respond, bool isOutbound);
-    HttpResponse onHttpError (HttpServerError error);
-    HttpResponse answerAdmin (const HttpRequest& request);
-
-    void carryOut (const AnswerRequest& effect);
-    void carryOut (const SendToPeer& effect);
-    void carryOut (const ReplyOnLink& effect);
-    void carryOut (const SendRumour& effect);
-    void carryOut (const DispatchToTarget& effect);
-    void carryOut (const AbandonTarget& effect);
-    void carryOut (const FetchList& effect);
-    void carryOut (const ReadLog& effect);
-    void carryOut (const AppendJoin& effect);
-    void carryOut (const AppendCheckpoint& effect);
-    void carryOut (const WriteLog& effect);
-    void carryOut (const Exit& effect);
-
-    void onLogPage (const ReadLog& read, const absl::StatusOr<LogPage>& page);
-    void notePlatform (const absl::Status& status);
-
-    struct Waiting
-    {
-        HttpServer::Respond m_respond;
-        Time m_since;
-    };
 
     boost::asio::io_context& m_context;
-    const NodeOptions m_options;
+    std::unique_ptr<Reducer> m_reducer;
     Logger& m_logger;
-    Reducer m_reducer;
-    NodeMetrics m_metrics;
-    HttpServer m_callerServer;
-    HttpServer m_outboundServer;
-    HttpServer m_adminServer;
-    HttpClient m_probeClient;
-    PlatformClient m_platform;
-    PeerLinks m_links;
-    RumourSocket m_rumours;
-    TargetClient m_target;
+    std::vector<EffectHandler> m_edges;
+    std::vector<std::function<void()>> m_onExit;
     std::unique_ptr<TraceWriter> m_trace;
+    NodeSettings m_traceSettings;
     std::unique_ptr<Timers> m_timers;
-    std::map<Ticket, Waiting> m_waiting;
-    Ticket m_nextTicket = 1;
     std::deque<EventBody> m_pending;
+    Ticket m_nextTicket = 1;
     bool m_isBusy = false;
-    Time m_armedFor;
-    Time m_lastTargetWord;
-    TargetState m_targetState = TargetState::serving;
-    bool m_isProbing = false;
     bool m_isExiting = false;
+    Time m_armedFor;
 };
 
-/** A configuration that every node reads alike. */
-DeclarationsParser makeDeclarationsParser();
-
 } // namespace plankledge
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -76,21 +76,15 @@
 }
 
 //==============================================================================
-std::string renderMetrics (const Reducer& reducer, const NodeMetrics& metrics, const ControlTraffic& traffic)
+namespace
+{
+
+void appendRequestCounters (std::string& text, const Counters& counters)
 {
-    const auto& counters = reducer.counters();
-    const auto& admission = reducer.inbound().admission();
-    std::string text;
     appendCounters (text, "refusals_total", counters.m_refusals);
     appendCounters (text, "system_answers_total", counters.m_systemAnswers);
     appendCounters (text, "retries_total", counters.m_retries);
     appendCounters (text, "retries_denied_total", counters.m_retriesDenied);
-    appendCounters (text, "bad_frames_total", metrics.m_badFrames);
-    appendCounters (text, "bad_datagrams_total", metrics.m_badDatagrams);
-    appendCounters (text, "bad_requests_total", metrics.m_badRequests);
-    appendCounters (text, "bad_http_total", metrics.m_badHttp);
-    appendCounters (text, "platform_errors_total", metrics.m_platformErrors);
-
     text += "# TYPE plankledge_outcomes_total counter\n";
 
     for (std::size_t index = 0; index < counters.m_outcomes.size(); ++index)
@@ -100,14 +94,43 @@
     appendCounter (text, "dispatches_total", counters.m_dispatches);
     appendCounter (text, "redirects_total", counters.m_redirects);
     appendCounter (text, "late_answers_total", counters.m_lateAnswers);
-    appendCounter (text, "resendings_attached_total", counters.m_attached);
-    appendCounter (text, "resendings_replayed_total", counters.m_replayed);
-    appendCounter (text, "inquiries_total", counters.m_inquiries);
     appendCounter (text, "pauses_total", counters.m_wakes);
+}
+
+void appendEdgeCounters (std::string& text, const NodeMetrics& metrics, const ControlTraffic& traffic)
+{
+    appendCounters (text, "bad_frames_total", metrics.m_badFrames);
+    appendCounters (text, "bad_datagrams_total", metrics.m_badDatagrams);
+    appendCounters (text, "bad_requests_total", metrics.m_badRequests);
+    appendCounters (text, "bad_http_total", metrics.m_badHttp);
+    appendCounters (text, "platform_errors_total", metrics.m_platformErrors);
     appendCounter (text, "target_broken_total", metrics.m_targetBroken);
     appendCounter (text, "control_frame_bytes_total", traffic.m_frames);
     appendCounter (text, "control_datagram_bytes_total", traffic.m_datagrams);
     appendCounter (text, "control_platform_bytes_total", traffic.m_platform);
+    text += "# TYPE plankledge_request_milliseconds summary\n";
+
+    for (std::size_t index = 0; index < DurationQuantiles::probabilities.size(); ++index)
+        text +=
+            fmt::format ("plankledge_request_milliseconds{{quantile=\"{}\"}} {}\n",
+                         DurationQuantiles::probabilities[index], metrics.m_requestTime.milliseconds (index));
+
+    text += fmt::format ("plankledge_request_milliseconds_count {}\n", metrics.m_requestTime.count());
+}
+
+} // namespace
+
+std::string renderMetrics (const Reducer& reducer, const NodeMetrics& metrics, const ControlTraffic& traffic)
+{
+    const auto& counters = reducer.counters();
+    const auto& admission = reducer.inbound().admission();
+    std::string text;
+
+    appendRequestCounters (text, counters);
+    appendEdgeCounters (text, metrics, traffic);
+    appendCounter (text, "resendings_attached_total", counters.m_attached);
+    appendCounter (text, "resendings_replayed_total", counters.m_replayed);
+    appendCounter (text, "inquiries_total", counters.m_inquiries);
     appendGauge (text, "configuration_version", static_cast<double> (reducer.configuration().version()));
     appendGauge (text, "members", static_cast<double> (reducer.membership().size()));
     appendGauge (text, "calls_running", admission.inUse());
@@ -116,18 +139,32 @@
     appendGauge (text, "threshold_rank", admission.threshold());
     appendGauge (text, "records", static_cast<double> (reducer.inbound().records().size()));
     appendGauge (text, "fences", static_cast<double> (reducer.inbound().records().fenceCount()));
+    return text;
+}
 
-    text += "# TYPE plankledge_request_milliseconds summary\n";
-
-    for (std::size_t index = 0; index < DurationQuantiles::probabilities.size(); ++index)
-        text +=
-            fmt::format ("plankledge_request_milliseconds{{quantile=\"{}\"}} {}\n",
-                         DurationQuantiles::probabilities[index], metrics.m_requestTime.milliseconds (index));
+std::string renderRelayMetrics (const Reducer& reducer, const NodeMetrics& metrics,
+                                const ControlTraffic& traffic)
+{
+    const auto& relay = reducer.relay();
+    const auto gate = relay.gate().status();
+    std::string text;
 
-    text += fmt::format ("plankledge_request_milliseconds_count {}\n", metrics.m_requestTime.count());
+    appendRequestCounters (text, reducer.counters());
+    appendEdgeCounters (text, metrics, traffic);
+    appendGauge (text, "configuration_version", static_cast<double> (relay.routes().version()));
+    appendGauge (text, "members", static_cast<double> (relay.peers().size()));
+    appendGauge (text, "requests_at_entry", static_cast<double> (relay.entry().size()));
+    appendGauge (text, "gate_open", gate.m_isOpen ? 1.0 : 0.0);
+    appendGauge (text, "calls_running", static_cast<double> (relay.gate().running()));
+    appendGauge (text, "calls_queued", static_cast<double> (relay.gate().queued()));
+    appendGauge (text, "concurrency_limit", gate.m_limit);
+    appendGauge (text, "admitted_permille", gate.m_admittedPermille);
+    appendGauge (text, "target_milliseconds", static_cast<double> (gate.m_serviceTime.count()) / 1000.0);
+    appendGauge (text, "target_failure_permille", gate.m_failurePermille);
     return text;
 }
 
+//==============================================================================
 std::string renderState (const Reducer& reducer)
 {
     const auto& self = reducer.membership().self();
--- a/modules/plankledge_runtime/NodeMetrics.h
+++ b/modules/plankledge_runtime/NodeMetrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plankledge_platform/PlatformJson.h"
+#include "plankledge_formats/PlatformJson.h"
 #include "plankledge_policy/Reducer.h"
 #include "plankledge_runtime/CallerHttp.h"
 #include "plankledge_runtime/HttpServer.h"
@@ -68,6 +68,10 @@
 /** @returns all counters and gauges in Prometheus text format */
 std::string renderMetrics (const Reducer& reducer, const NodeMetrics& metrics, const ControlTraffic& traffic);
 
+/** @returns the same of a node that serves relayed requests */
+std::string renderRelayMetrics (const Reducer& reducer, const NodeMetrics& metrics,
+                                const ControlTraffic& traffic);
+
 /** @returns this node's view as JSON: members, version, limits, refusals by reason */
 std::string renderState (const Reducer& reducer);
 
--- a/modules/plankledge_runtime/NoticeLog.cpp
+++ b/modules/plankledge_runtime/NoticeLog.cpp
@@ -1,5 +1,8 @@
 #include "plankledge_runtime/NoticeLog.h"
 
+#include <array>
+#include <fmt/format.h>
+
 namespace plankledge
 {
 
@@ -53,4 +56,35 @@
     }
 }
 
+//==============================================================================
+std::string_view nameOf (Decision decision) noexcept
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t> (Decision::decisionCount)> names {
+        "request-admitted", "request-held",     "request-sent",      "request-sent-again", "request-answered",
+        "request-refused",  "request-given-up", "request-cancelled", "gate-queued",        "gate-dispatched",
+        "gate-refused",     "gate-ended",       "target-announced",  "target-silent",      "peer-found",
+        "peer-lost",        "peer-regained",    "routes-in-force",   "routes-invalid",     "admission-moved"
+    };
+    return names.at (static_cast<std::size_t> (decision));
+}
+
+void writeNotice (Logger& logger, const WriteLog& notice)
+{
+    logger.write (severityOf (notice.m_notice), nameOf (notice.m_notice),
+                  { { "subject", notice.m_subject }, { "value", fmt::format ("{}", notice.m_value) } });
+}
+
+void writeDecision (Logger& logger, const LogDecision& decision)
+{
+    std::vector<LogField> fields;
+
+    if (! decision.m_request.empty())
+        fields.push_back ({ "request", decision.m_request });
+
+    for (const auto& input : decision.m_inputs)
+        fields.push_back ({ input.m_name, input.m_value });
+
+    logger.write (Severity::info, nameOf (decision.m_decision), fields);
+}
+
 } // namespace plankledge
--- a/modules/plankledge_runtime/NoticeLog.h
+++ b/modules/plankledge_runtime/NoticeLog.h
@@ -12,4 +12,13 @@
 /** @returns how severe the event is */
 Severity severityOf (Notice notice) noexcept;
 
+/** @returns the event's name in the log, e.g. "request-refused" */
+std::string_view nameOf (Decision decision) noexcept;
+
+void writeNotice (Logger& logger, const WriteLog& notice);
+
+/** Writes a decision with its inputs; failures and changes of belief as info or above, the rest as debug
+    where no request is named. */
+void writeDecision (Logger& logger, const LogDecision& decision);
+
 } // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_runtime/PeerEdge.cpp
@@ -0,0 +1,48 @@
+#include "plankledge_runtime/PeerEdge.h"
+
+namespace plankledge
+{
+
+PeerEdge::PeerEdge (boost::asio::io_context& context, Node& node, const NodeId& self, NodeMetrics& metrics)
+    : m_links (context, self,
+               { [&node] (LinkId link, const NodeId& from, PeerMessage message) {
+                    node.submit (PeerMessageReceived { link, from, std::move (message) });
+                },
+                 [&node] (const InstanceName& instance, std::vector<CallId> unsent) {
+                     node.submit (PeerUnreachable { instance, std::move (unsent) });
+                 },
+                 [&node] (const InstanceName& instance) { node.submit (PeerLost { instance }); },
+                 [&node] (LinkId link) { node.submit (LinkClosed { link }); },
+                 [&node, &metrics] (WireError error) {
+                     ++metrics.m_badFrames[error];
+                     node.logger().write (Severity::warning, "bad-frame",
+                                          { { "reason", std::string (nameOf (error)) } });
+                 } })
+    , m_rumours (context, { [&node] (Rumour rumour) { node.submit (RumourReceived { std::move (rumour) }); },
+                            [&metrics] (WireError error) { ++metrics.m_badDatagrams[error]; } })
+{
+}
+
+absl::Status PeerEdge::listen (const Endpoint& endpoint)
+{
+    auto status = m_links.listen (endpoint);
+    status.Update (m_rumours.listen (endpoint));
+    return status;
+}
+
+void PeerEdge::carryOut (const SendToPeer& effect)
+{
+    m_links.send (effect.m_instance, effect.m_endpoint, effect.m_message);
+}
+
+void PeerEdge::carryOut (const ReplyOnLink& effect)
+{
+    m_links.reply (effect.m_link, effect.m_instance, effect.m_message);
+}
+
+void PeerEdge::carryOut (const SendRumour& effect)
+{
+    m_rumours.send (effect.m_endpoint, effect.m_rumour);
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_runtime/PeerEdge.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/NodeMetrics.h"
+#include "plankledge_runtime/PeerLinks.h"
+#include "plankledge_runtime/RumourSocket.h"
+
+namespace plankledge
+{
+
+//==============================================================================
+/** Where a node meets its peers: frames over TCP, rumours over UDP. */
+class PeerEdge
+{
+public:
+    //==============================================================================
+    PeerEdge (boost::asio::io_context& context, Node& node, const NodeId& self, NodeMetrics& metrics);
+
+    /** @returns the error where the address can't be bound */
+    absl::Status listen (const Endpoint& endpoint);
+
+    void carryOut (const SendToPeer& effect);
+    void carryOut (const ReplyOnLink& effect);
+    void carryOut (const SendRumour& effect);
+
+    /** @returns bytes for control since the start, by frames and datagrams */
+    ControlTraffic traffic() const noexcept { return { m_links.controlBytes(), m_rumours.bytes(), 0 }; }
+
+private:
+    //==============================================================================
+    PeerLinks m_links;
+    RumourSocket m_rumours;
+};
+
+} // namespace plankledge
--- a/modules/plankledge_runtime/PeerLinks.cpp
+++ b/modules/plankledge_runtime/PeerLinks.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <map>
+#include <netinet/tcp.h>
 #include <optional>
 
 namespace plankledge
@@ -30,10 +31,37 @@
 constexpr std::size_t readChunkBytes = 64U << 10U;
 constexpr std::size_t maximumQueuedBytes = 16U << 20U; // a peer that reads so slowly counts as lost
 
+/** A connection whose bytes are not acknowledged for so long is broken: the peer is cut off or has no
+    power, and says nothing. Longer than a pause of a busy process, shorter than callers wait. */
+constexpr std::chrono::milliseconds unacknowledgedLimit { 2500 };
+
 bool isControl (const PeerMessage& message) noexcept
 {
     return ! std::holds_alternative<CallRequest> (message) &&
-           ! std::holds_alternative<CallAnswer> (message) && ! std::holds_alternative<CallCancel> (message);
+           ! std::holds_alternative<CallAnswer> (message) && ! std::holds_alternative<CallCancel> (message) &&
+           ! std::holds_alternative<RelayRequest> (message) &&
+           ! std::holds_alternative<RelayAnswer> (message) && ! std::holds_alternative<RelayCancel> (message);
+}
+
+/** @returns the id of the call that the message asks for, or nullopt */
+std::optional<CallId> callOf (const PeerMessage& message) noexcept
+{
+    if (const auto* call = std::get_if<CallRequest> (&message))
+        return call->m_callId;
+
+    if (const auto* relay = std::get_if<RelayRequest> (&message))
+        return relay->m_callId;
+
+    return std::nullopt;
+}
+
+/** Small frames leave at once: held back by Nagle's algorithm they wait 40 ms for an acknowledgement. */
+void prepare (tcp::socket& socket)
+{
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    boost::system::error_code ignored;
+    socket.set_option (tcp::no_delay (true), ignored);
+    socket.set_option (UserTimeout (static_cast<int> (unacknowledgedLimit.count())), ignored);
 }
 
 /** One connection, either way. */
@@ -86,10 +114,7 @@
             if (error)
                 continue;
 
-            // Answers go back over this side: held back by Nagle's algorithm they wait 40 ms for an
-            // acknowledgement.
-            boost::system::error_code ignored;
-            link->m_socket.set_option (tcp::no_delay (true), ignored);
+            prepare (link->m_socket);
             link->m_isConnected = true;
             const auto id = m_nextLink++;
             m_accepted[id] = link;
@@ -152,7 +177,7 @@
         if (error || link.m_isClosed)
             co_return false;
 
-        link.m_socket.set_option (tcp::no_delay (true));
+        prepare (link.m_socket);
         co_return true;
     }
 
@@ -348,8 +373,8 @@
 
     if (! link->m_isConnected)
     {
-        if (const auto* call = std::get_if<CallRequest> (&message))
-            link->m_unsent.push_back (call->m_callId);
+        if (const auto call = callOf (message))
+            link->m_unsent.push_back (*call);
     }
     else
     {
--- a/modules/plankledge_runtime/PlatformClient.h
+++ b/modules/plankledge_runtime/PlatformClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plankledge_platform/PlatformJson.h"
+#include "plankledge_formats/PlatformJson.h"
 #include "plankledge_runtime/HttpClient.h"
 #include <functional>
 #include <string>
--- /dev/null
+++ b/modules/plankledge_runtime/RelayCallerEdge.cpp
@@ -0,0 +1,60 @@
+#include "plankledge_runtime/RelayCallerEdge.h"
+
+#include "plankledge_runtime/CallerEdge.h"
+
+namespace plankledge
+{
+
+RelayCallerEdge::RelayCallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics,
+                                  Hooks hooks)
+    : m_node (node)
+    , m_metrics (metrics)
+    , m_hooks (std::move (hooks))
+    , m_server (context, { [this] (HttpRequest request, HttpServer::Respond respond) {
+                              return onRequest (std::move (request), std::move (respond));
+                          },
+                           [this] (HttpServerError error) {
+                               ++m_metrics.m_badHttp[error];
+                               return makeHttpError (error);
+                           } })
+{
+}
+
+std::function<void()> RelayCallerEdge::onRequest (HttpRequest request, HttpServer::Respond respond)
+{
+    auto decoded = m_hooks.m_decode (std::move (request));
+
+    if (auto* response = std::get_if<HttpResponse> (&decoded))
+    {
+        respond (std::move (*response));
+        return {};
+    }
+
+    auto received = std::get<RelayRequestReceived> (std::move (decoded));
+    const auto ticket = m_node.newTicket();
+    received.m_ticket = ticket;
+    m_waiting[ticket] = { std::move (respond), received.m_content.m_id, BootClock::now() };
+    m_node.submit (std::move (received));
+
+    return [this, ticket] {
+        if (m_waiting.erase (ticket) > 0)
+            m_node.submit (RequesterGone { ticket });
+    };
+}
+
+void RelayCallerEdge::carryOut (const AnswerRelay& effect)
+{
+    const auto found = m_waiting.find (effect.m_ticket);
+
+    if (found == m_waiting.end())
+        return;
+
+    m_metrics.m_requestTime.add (BootClock::now() - found->second.m_since);
+    const auto waiting = std::move (found->second);
+    m_waiting.erase (found);
+    auto response = m_hooks.m_encode (waiting.m_request, effect.m_result);
+    response.m_closes = effect.m_closes;
+    waiting.m_respond (std::move (response));
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_runtime/RelayTargetEdge.cpp
@@ -0,0 +1,41 @@
+#include "plankledge_runtime/RelayTargetEdge.h"
+
+namespace plankledge
+{
+
+RelayTargetEdge::RelayTargetEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics,
+                                  Hooks hooks)
+    : m_node (node)
+    , m_metrics (metrics)
+    , m_hooks (std::move (hooks))
+    , m_client (
+          context, [this] (CallId call, TargetClient::Answer answer) { onDone (call, std::move (answer)); },
+          m_hooks.m_isAnswerTo)
+{
+}
+
+void RelayTargetEdge::carryOut (const RelayToTarget& effect)
+{
+    m_client.send (effect.m_call, effect.m_endpoint, m_hooks.m_encode (effect));
+}
+
+void RelayTargetEdge::onDone (CallId call, TargetClient::Answer answer)
+{
+    TargetReply reply;
+
+    if (const auto* failure = std::get_if<TargetFailure> (&answer))
+    {
+        const bool isBroken = *failure == TargetFailure::broken;
+        m_metrics.m_targetBroken += isBroken ? 1 : 0;
+        reply.m_kind = isBroken ? TargetReplyKind::broken : TargetReplyKind::notSent;
+    }
+    else
+    {
+        reply = m_hooks.m_decode (std::get<HttpResponse> (std::move (answer)));
+    }
+
+    reply.m_call = call;
+    m_node.submit (std::move (reply));
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_runtime/RelayTargetEdge.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/NodeMetrics.h"
+#include "plankledge_runtime/TargetClient.h"
+
+namespace plankledge
+{
+
+//==============================================================================
+/** Where a node meets its target with relayed requests; how they are written is a hook's matter. */
+class RelayTargetEdge
+{
+public:
+    //==============================================================================
+    struct Hooks
+    {
+        std::function<HttpRequest (const RelayToTarget&)> m_encode;
+
+        /** Reads a whole answer; all but its call. */
+        std::function<TargetReply (HttpResponse)> m_decode;
+
+        TargetClient::Matcher m_isAnswerTo;
+    };
+
+    RelayTargetEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics, Hooks hooks);
+
+    void carryOut (const RelayToTarget& effect);
+    void carryOut (const AbandonTarget& effect) { m_client.abandon (effect.m_call); }
+
+private:
+    //==============================================================================
+    void onDone (CallId call, TargetClient::Answer answer);
+
+    Node& m_node;
+    NodeMetrics& m_metrics;
+    Hooks m_hooks;
+    TargetClient m_client;
+};
+
+} // namespace plankledge
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/TargetClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
+#include <absl/strings/numbers.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <list>
 #include <map>
+#include <optional>
 
 namespace plankledge
 {
@@ -26,17 +28,55 @@
 constexpr auto asTuple = asio::as_tuple (asio::use_awaitable);
 constexpr std::chrono::milliseconds connectLimit { 500 };
 
+/** Idle connections are given up so long before the target says that it closes them. */
+constexpr std::chrono::milliseconds idleMargin { 500 };
+
+/** For targets that name no idle time. */
+constexpr std::chrono::seconds usualIdleTime { 5 };
+
+/** Answers to other requests that are passed over before a connection is given up. */
+constexpr unsigned mostStrayAnswers = 3;
+
 using Stream = std::shared_ptr<beast::tcp_stream>;
+using Clock = std::chrono::steady_clock;
+
+/** A connection without a call. */
+struct IdleConnection
+{
+    Stream m_stream;
+    Clock::time_point m_until;
+};
+
+/** @returns how long the target keeps an idle connection, by its Keep-Alive header */
+std::chrono::milliseconds idleTimeOf (const HttpHeaders& headers)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto text = findHeader (headers, "Keep-Alive");
+    const auto start = text.find (parameter);
+    unsigned seconds = 0;
+
+    if (start == std::string_view::npos)
+        return usualIdleTime;
+
+    const auto digits = text.substr (start + parameter.size());
+    const auto number = digits.substr (0, digits.find_first_not_of ("0123456789"));
+
+    if (! absl::SimpleAtoi (absl::string_view (number.data(), number.size()), &seconds))
+        return usualIdleTime;
+
+    return std::max<std::chrono::milliseconds> (std::chrono::seconds (seconds) - idleMargin,
+                                                std::chrono::milliseconds::zero());
+}
 
 } // namespace
 
 //==============================================================================
 struct TargetClient::Implementation : std::enable_shared_from_this<TargetClient::Implementation>
 {
-    Implementation (asio::io_context& context, const Endpoint& target, Done done)
+    Implementation (asio::io_context& context, Done done, Matcher isAnswerTo)
         : m_context (context)
-        , m_target (target)
         , m_done (std::move (done))
+        , m_isAnswerTo (std::move (isAnswerTo))
     {
     }
 
@@ -58,30 +98,56 @@
                 co_return;
         }
 
+        const auto headers = request.m_headers;
         const auto sent = toMessage (std::move (request), m_target);
-        beast::flat_buffer buffer;
-        http::response_parser<http::string_body> parser;
-        parser.body_limit (maximumBodyBytes);
-        parser.header_limit (maximumHeaderBytes);
-
-        auto [error, size] = co_await http::async_write (*stream, sent, asTuple);
+        const auto [writeError, written] = co_await http::async_write (*stream, sent, asTuple);
 
-        if (! error)
-            std::tie (error, size) = co_await http::async_read (*stream, buffer, parser, asTuple);
+        // A target may answer before it has read the whole request and then close: what it said still counts.
+        auto answer = co_await readAnswer (*stream, headers, sent.method() == http::verb::head);
 
         if (m_active.erase (call) == 0)
             co_return; // abandoned meanwhile
 
-        // Bytes behind the answer: its length was wrong, or it came twice. Either way it can't be trusted.
-        if (error || buffer.size() > 0)
+        if (! answer.has_value())
             co_return m_done (call, TargetFailure::broken);
 
-        auto response = toResponse (parser.release());
+        if (! answer->m_closes && ! writeError)
+            keepIdle (stream, idleTimeOf (answer->m_headers));
 
-        if (! response.m_closes)
-            keepIdle (stream);
+        m_done (call, std::move (*answer));
+    }
 
-        m_done (call, std::move (response));
+    /** @returns the whole answer to the request; nullopt where none came */
+    asio::awaitable<std::optional<HttpResponse>> readAnswer (beast::tcp_stream& stream,
+                                                             const HttpHeaders& request, bool isHead)
+    {
+        beast::flat_buffer buffer;
+
+        for (unsigned strays = 0; strays <= mostStrayAnswers; ++strays)
+        {
+            http::response_parser<http::string_body> parser;
+            parser.body_limit (maximumBodyBytes);
+            parser.header_limit (maximumHeaderBytes);
+            parser.skip (isHead);
+            const auto [error, size] = co_await http::async_read (stream, buffer, parser, asTuple);
+
+            if (error)
+                co_return std::nullopt;
+
+            auto answer = toResponse (parser.release());
+
+            if (m_isAnswerTo && ! m_isAnswerTo (request, answer))
+                continue;
+
+            // Bytes behind the answer: its length was wrong, or it came twice.
+            if (buffer.size() > 0 && ! m_isAnswerTo)
+                co_return std::nullopt;
+
+            answer.m_closes = answer.m_closes || buffer.size() > 0;
+            co_return answer;
+        }
+
+        co_return std::nullopt;
     }
 
     asio::awaitable<Stream> connect (CallId call)
@@ -113,27 +179,32 @@
     }
 
     /** Keeps a connection for the next call, and drops it as soon as the target says anything on it. */
-    void keepIdle (const Stream& stream)
+    void keepIdle (const Stream& stream, std::chrono::milliseconds time)
     {
-        m_idle.push_back (stream);
+        m_idle.push_back ({ stream, Clock::now() + time });
         stream->socket().async_wait (tcp::socket::wait_read, [weak = weak_from_this(), stream] (
                                                                  const boost::system::error_code& error) {
             const auto self = weak.lock();
 
             if (self != nullptr && error != asio::error::operation_aborted)
-                self->m_idle.remove (stream);
+                self->m_idle.remove_if (
+                    [&stream] (const IdleConnection& idle) { return idle.m_stream == stream; });
         });
     }
 
+    /** Takes the connection that was used last, so that those a quiet target doesn't need grow old. */
     Stream takeIdle()
     {
         while (! m_idle.empty())
         {
-            auto stream = m_idle.back();
+            const auto [stream, until] = m_idle.back();
             m_idle.pop_back();
             boost::system::error_code error;
             stream->socket().cancel (error);
 
+            if (until <= Clock::now())
+                continue;
+
             // Anything to read on an idle connection is its end or an answer nobody asked for.
             stream->socket().non_blocking (true, error);
             char byte = 0;
@@ -146,6 +217,15 @@
         return nullptr;
     }
 
+    void setTarget (const Endpoint& target)
+    {
+        if (target == m_target)
+            return;
+
+        m_target = target;
+        m_idle.clear();
+    }
+
     void abandon (CallId call)
     {
         const auto found = m_active.find (call);
@@ -161,23 +241,25 @@
     }
 
     asio::io_context& m_context;
-    const Endpoint m_target;
+    Endpoint m_target;
     Done m_done;
+    Matcher m_isAnswerTo;
     std::map<CallId, Stream> m_active;
-    std::list<Stream> m_idle;
+    std::list<IdleConnection> m_idle;
     std::uint64_t m_connectionsOpened = 0;
 };
 
 //==============================================================================
-TargetClient::TargetClient (asio::io_context& context, const Endpoint& target, Done done)
-    : m_implementation (std::make_shared<Implementation> (context, target, std::move (done)))
+TargetClient::TargetClient (asio::io_context& context, Done done, Matcher isAnswerTo)
+    : m_implementation (std::make_shared<Implementation> (context, std::move (done), std::move (isAnswerTo)))
 {
 }
 
 TargetClient::~TargetClient() = default;
 
-void TargetClient::send (CallId call, HttpRequest request)
+void TargetClient::send (CallId call, const Endpoint& target, HttpRequest request)
 {
+    m_implementation->setTarget (target);
     m_implementation->m_active[call] = nullptr;
     asio::co_spawn (m_implementation->m_context, m_implementation->run (call, std::move (request)),
                     asio::detached);
--- /dev/null
+++ b/modules/plankledge_runtime/TargetEdge.cpp
@@ -0,0 +1,114 @@
+#include "plankledge_runtime/TargetEdge.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace plankledge
+{
+
+namespace
+{
+
+constexpr Duration probePeriod = Milliseconds (250);
+constexpr Duration probeTimeout = Milliseconds (500);
+constexpr Duration quietBeforeProbe = std::chrono::seconds (1);
+
+} // namespace
+
+struct TargetEdge::Timer
+{
+    explicit Timer (boost::asio::io_context& context)
+        : m_probe (context)
+    {
+    }
+
+    boost::asio::steady_timer m_probe;
+};
+
+//==============================================================================
+TargetEdge::TargetEdge (boost::asio::io_context& context, Node& node, const Endpoint& target,
+                        NodeMetrics& metrics)
+    : m_node (node)
+    , m_metrics (metrics)
+    , m_endpoint (target)
+    , m_client (context,
+                [this] (CallId call, TargetClient::Answer answer) { onDone (call, std::move (answer)); })
+    , m_probeClient (context)
+    , m_timer (std::make_unique<Timer> (context))
+{
+}
+
+TargetEdge::~TargetEdge() = default;
+
+void TargetEdge::carryOut (const DispatchToTarget& effect)
+{
+    m_client.send (effect.m_call, m_endpoint, makeTargetRequest (effect));
+}
+
+void TargetEdge::carryOut (const AbandonTarget& effect)
+{
+    m_client.abandon (effect.m_call);
+}
+
+void TargetEdge::onDone (CallId call, TargetClient::Answer answer)
+{
+    if (const auto* failure = std::get_if<TargetFailure> (&answer))
+    {
+        if (*failure == TargetFailure::broken)
+            ++m_metrics.m_targetBroken;
+        else
+            m_state = TargetState::unreachable;
+
+        return m_node.submit (TargetFailed { call, *failure });
+    }
+
+    auto& response = std::get<HttpResponse> (answer);
+    noteWord (response);
+    m_node.submit (TargetAnswered { call, response.m_status, std::move (response.m_contentType),
+                                    std::move (response.m_body) });
+}
+
+void TargetEdge::noteWord (const HttpResponse& response)
+{
+    m_lastWord = BootClock::now();
+    const bool isDraining = findHeader (response.m_headers, "Plankledge-Target-State") == "draining";
+    observe (isDraining ? TargetState::draining : TargetState::serving);
+}
+
+void TargetEdge::observe (TargetState state)
+{
+    if (state == m_state)
+        return;
+
+    m_state = state;
+    m_node.submit (TargetObserved { state });
+}
+
+void TargetEdge::probe()
+{
+    const auto now = BootClock::now();
+    const bool isQuiet = now - m_lastWord >= quietBeforeProbe;
+
+    if (! m_isProbing && (isQuiet || m_state != TargetState::serving))
+    {
+        m_isProbing = true;
+        HttpRequest request;
+        request.m_target = "/health";
+        m_probeClient.send (m_endpoint, request, probeTimeout, [this] (const auto& answer) {
+            m_isProbing = false;
+
+            if (answer.ok())
+                noteWord (*answer);
+            else if (absl::IsUnavailable (answer.status()))
+                observe (TargetState::unreachable);
+        });
+    }
+
+    m_timer->m_probe.expires_after (probePeriod);
+    m_timer->m_probe.async_wait ([this] (const boost::system::error_code& error) {
+        if (! error)
+            probe();
+    });
+}
+
+} // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_runtime/TargetEdge.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "plankledge_runtime/HttpClient.h"
+#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/NodeMetrics.h"
+#include "plankledge_runtime/TargetClient.h"
+
+#include <memory>
+
+namespace plankledge
+{
+
+//==============================================================================
+/** Where a node meets its target, in the project's own interface: calls, and probes while it is quiet. */
+class TargetEdge
+{
+public:
+    //==============================================================================
+    TargetEdge (boost::asio::io_context& context, Node& node, const Endpoint& target, NodeMetrics& metrics);
+    ~TargetEdge();
+
+    /** Begins to look after the target. */
+    void start() { probe(); }
+
+    void carryOut (const DispatchToTarget& effect);
+    void carryOut (const AbandonTarget& effect);
+
+    bool isServing() const noexcept { return m_state == TargetState::serving; }
+
+private:
+    //==============================================================================
+    struct Timer;
+
+    void probe();
+    void observe (TargetState state);
+    void noteWord (const HttpResponse& response);
+    void onDone (CallId call, TargetClient::Answer answer);
+
+    Node& m_node;
+    NodeMetrics& m_metrics;
+    const Endpoint m_endpoint;
+    TargetClient m_client;
+    HttpClient m_probeClient;
+    std::unique_ptr<Timer> m_timer;
+    Time m_lastWord;
+    TargetState m_state = TargetState::serving;
+    bool m_isProbing = false;
+};
+
+} // namespace plankledge
--- a/modules/plankledge_wire/FrameCodec.cpp
+++ b/modules/plankledge_wire/FrameCodec.cpp
@@ -78,6 +78,12 @@
     bool operator() (const JoinRequest& join) const noexcept { return isValid (join.m_member); }
     bool operator() (const JoinAcknowledgement& join) const noexcept { return areValid (join.m_members); }
     bool operator() (const Heartbeat& heartbeat) const noexcept { return isValid (heartbeat.m_member); }
+    bool operator() (const PeerHello& hello) const noexcept { return isValid (hello.m_member); }
+    bool operator() (const RelayAnswer& answer) const noexcept
+    {
+        return answer.m_result.m_outcome <= Outcome::unknown &&
+               answer.m_result.m_reason < Reason::reasonCount;
+    }
     bool operator() (const LeaveNotice& notice) const noexcept { return areValid (notice.m_members); }
 
     bool operator() (const Handover& handover) const noexcept
--- a/programs/plankctl.cpp
+++ b/programs/plankctl.cpp
@@ -1,10 +1,10 @@
 /*  plankctl: the operators' command. See docs/OPERATIONS.md for the commands and exit codes. */
 
 #include "plankledge_core/Hash.h"
+#include "plankledge_formats/DeclarationsJson.h"
 #include "plankledge_operator/Publisher.h"
-#include "plankledge_platform/DeclarationsJson.h"
 #include "plankledge_runtime/HttpClient.h"
-#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/KeyedNode.h"
 #include "plankledge_runtime/ProgramSettings.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
--- a/programs/plankledge-node.cpp
+++ b/programs/plankledge-node.cpp
@@ -1,7 +1,7 @@
 /*  plankledge-node: the process that runs beside one target. Settings are flags or FLAGS_… environment
  * variables. */
 
-#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/KeyedNode.h"
 #include "plankledge_runtime/ProgramSettings.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -105,7 +105,7 @@
 
     Logger logger (FLAGS_instance, parseSeverity (FLAGS_log_level));
     boost::asio::io_context context (1);
-    Node node (context, options, logger);
+    KeyedNode node (context, options, logger);
 
     if (const auto status = node.start(); ! status.ok())
     {
--- a/programs/plankledge-replay.cpp
+++ b/programs/plankledge-replay.cpp
@@ -3,7 +3,7 @@
 
 #include "plankledge_load/plankledge_load.h"
 #include "plankledge_runtime/HttpClient.h"
-#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/KeyedNode.h"
 #include "plankledge_runtime/ProgramSettings.h"
 #include <absl/strings/str_split.h>
 #include <boost/asio/io_context.hpp>
--- a/standins/standin-target.cpp
+++ b/standins/standin-target.cpp
@@ -72,7 +72,8 @@
         , m_listTimer (context)
         , m_drainTimer (context)
         , m_client (context)
-        , m_outbound (context, outbound,
+        , m_outboundEndpoint (outbound)
+        , m_outbound (context,
                       [this] (CallId call, const TargetClient::Answer& answer) { onCallDone (call, answer); })
         , m_random (std::hash<std::string>() (FLAGS_instance))
         , m_serviceMs (FLAGS_service_ms)
@@ -261,7 +262,7 @@
         job->m_calls.pop_front();
         job->m_call = ++m_lastCall;
         m_byCall[job->m_call] = job;
-        m_outbound.send (job->m_call, std::move (request));
+        m_outbound.send (job->m_call, m_outboundEndpoint, std::move (request));
     }
 
     static std::string query (const std::string& target)
@@ -330,6 +331,7 @@
     boost::asio::steady_timer m_listTimer;
     boost::asio::steady_timer m_drainTimer;
     HttpClient m_client;
+    const Endpoint m_outboundEndpoint;
     TargetClient m_outbound;
     Random m_random;
     std::optional<Endpoint> m_platform;
--- a/tests/contracts/ConfigurationJudge_test.cpp
+++ b/tests/contracts/ConfigurationJudge_test.cpp
@@ -1,7 +1,7 @@
 /*  Contract of the judge of the configuration stream: all readers come to the same verdicts, whatever part of
    the stream they saw, and the version never goes down. */
 
-#include "plankledge_policy/ConfigurationJudge.h"
+#include "plankledge_policy/configuration/ConfigurationJudge.h"
 #include <doctest/doctest.h>
 #include <random>
 
--- a/tests/contracts/Declarations_test.cpp
+++ b/tests/contracts/Declarations_test.cpp
@@ -1,6 +1,6 @@
 /*  Contract of the declarations' format: all faults at once, each with its place. */
 
-#include "plankledge_platform/DeclarationsJson.h"
+#include "plankledge_formats/DeclarationsJson.h"
 #include <doctest/doctest.h>
 
 namespace plankledge::test
--- a/tests/contracts/Programs_test.cpp
+++ b/tests/contracts/Programs_test.cpp
@@ -1,7 +1,7 @@
 /*  Contract of the programs' settings, and of recorded decisions: a trace of a node replays to the same
  * effects. */
 
-#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/KeyedNode.h"
 #include "plankledge_runtime/TraceFile.h"
 #include "support/Cluster.h"
 #include <csignal>
--- a/tests/promises/WholeAnswers_test.cpp
+++ b/tests/promises/WholeAnswers_test.cpp
@@ -131,13 +131,12 @@
         asio::io_context context;
         RawTarget target (context, row.m_said, row.m_closes);
         std::map<CallId, TargetClient::Answer> answers;
-        TargetClient client (context, target.endpoint(), [&] (CallId call, TargetClient::Answer answer) {
-            answers[call] = std::move (answer);
-        });
+        TargetClient client (
+            context, [&] (CallId call, TargetClient::Answer answer) { answers[call] = std::move (answer); });
 
         for (CallId call = 1; call <= row.m_bodies.size(); ++call)
         {
-            client.send (call, {});
+            client.send (call, target.endpoint(), {});
 
             while (! answers.contains (call))
                 context.run_one();
@@ -157,13 +156,12 @@
     asio::io_context context;
     RawTarget target (context, { whole ("late"), whole ("own") }, false);
     std::map<CallId, TargetClient::Answer> answers;
-    TargetClient client (context, target.endpoint(), [&] (CallId call, TargetClient::Answer answer) {
-        answers[call] = std::move (answer);
-    });
-    client.send (1, {});
+    TargetClient client (
+        context, [&] (CallId call, TargetClient::Answer answer) { answers[call] = std::move (answer); });
+    client.send (1, target.endpoint(), {});
     context.run_one_for (std::chrono::milliseconds (1));
     client.abandon (1);
-    client.send (2, {});
+    client.send (2, target.endpoint(), {});
 
     while (! answers.contains (2))
         context.run_one();
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -1,7 +1,7 @@
 #include "support/Cluster.h"
 
 #include "plankledge_core/Hash.h"
-#include "plankledge_platform/PlatformJson.h"
+#include "plankledge_formats/PlatformJson.h"
 #include <algorithm>
 #include <atomic>
 #include <boost/json.hpp>
--- a/tests/support/Rig.cpp
+++ b/tests/support/Rig.cpp
@@ -1,7 +1,7 @@
 #include "support/Rig.h"
 
 #include "plankledge_core/Hash.h"
-#include "plankledge_platform/DeclarationsJson.h"
+#include "plankledge_formats/DeclarationsJson.h"
 #include "plankledge_wire/FrameCodec.h"
 #include <cassert>
 
--- a/tests/support/Rig.h
+++ b/tests/support/Rig.h
@@ -1,12 +1,13 @@
 #pragma once
 
-#include "plankledge_platform/PlatformJson.h"
+#include "plankledge_formats/PlatformJson.h"
 #include "plankledge_policy/Reducer.h"
 #include <functional>
 #include <map>
 #include <memory>
 #include <queue>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -164,6 +165,12 @@
     void carryOut (Host&, const WriteLog&) {}
     void carryOut (Host& host, const Exit& effect);
 
+    /** Of relayed requests, which no host of the rig serves. */
+    template <class Other> void carryOut (Host&, const Other&)
+    {
+        throw std::logic_error ("an effect of relayed requests");
+    }
+
     Random m_random;
     Time m_now { std::chrono::hours (1) };
     std::uint64_t m_order = 0;
