--- a/modules/plankledge_policy/TimerQueue.h
+++ b/modules/plankledge_policy/TimerQueue.h
@@ -28,7 +28,8 @@
     relayHold,     /**< a request at its entry has waited long enough for a target */
     gateDeadline,  /**< of a request at the gate */
     gateHold,      /**< a request has waited long enough in the gate */
-    relayWindow,   /**< ends a window of measurement */
+    relayWindow,     /**< looks after held requests and silent peers */
+    admissionPeriod, /**< looks at the load of the gate */
     peerHello,
     relayStop
 };
--- a/modules/plankledge_policy/relay/AdmissionLevel.cpp
+++ b/modules/plankledge_policy/relay/AdmissionLevel.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_policy/relay/AdmissionLevel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plankledge
 {
@@ -8,14 +9,20 @@
 namespace
 {
 
-/** A mean wait above this is overload; at shallower queues slots would stand idle between requests. */
-constexpr Duration longestGoodWait = Milliseconds (15);
+/** The part of the capacity that is asked for: above it queues grow by chance alone. */
+constexpr double wantedLoad = 0.97;
 
-/** A wait at which the level falls by a whole step in one window. */
-constexpr Duration fullStepWait = Milliseconds (60);
+/** What waits is to be worked off in so many periods, beside what comes. */
+constexpr double periodsToDrain = 2.0;
 
-constexpr double stepDown = 0.05;
-constexpr double stepUp = 0.02;
+/** So many waiting requests, as part of a period's capacity, are no sign of overload. */
+constexpr double usualWaiting = 0.04;
+
+/** Only part of each correction is made, since load does not follow the level exactly. */
+constexpr double damping = 0.6;
+
+constexpr double largestStepDown = 0.75;
+constexpr double largestStepUp = 1.2;
 
 /** Something is always admitted, to measure by. */
 constexpr double lowestLevel = 0.05;
@@ -23,27 +30,17 @@
 } // namespace
 
 //==============================================================================
-void AdmissionLevel::onWait (Duration wait) noexcept
-{
-    m_waits += wait;
-    ++m_requests;
-}
-
-void AdmissionLevel::onWindowEnd (Duration oldestWait) noexcept
+void AdmissionLevel::onPeriodEnd (const Load& load) noexcept
 {
-    const auto mean = m_requests > 0 ? m_waits / m_requests : Duration::zero();
-    const auto wait = std::max (mean, oldestWait);
-    m_waits = Duration::zero();
-    m_requests = 0;
-
-    if (wait <= longestGoodWait)
-    {
-        m_level = std::min (1.0, m_level + stepUp);
+    if (load.m_capacity <= 0.0)
         return;
-    }
 
-    const auto depth = static_cast<double> (wait.count()) / static_cast<double> (fullStepWait.count());
-    m_level = std::max (lowestLevel, m_level - stepDown * std::min (1.0, depth));
+    const auto excess = static_cast<double> (load.m_waiting) - load.m_capacity * usualWaiting;
+    const auto backlog = std::max (0.0, excess) / periodsToDrain;
+    const auto wanted = std::max (load.m_capacity * wantedLoad - backlog, load.m_capacity * lowestLevel);
+    const auto asked = std::max (1.0, static_cast<double> (load.m_asked));
+    const auto step = std::clamp (std::pow (wanted / asked, damping), largestStepDown, largestStepUp);
+    m_level = std::clamp (m_level * step, lowestLevel, 1.0);
 }
 
 std::uint16_t AdmissionLevel::permille() const noexcept
--- a/modules/plankledge_policy/relay/AdmissionLevel.h
+++ b/modules/plankledge_policy/relay/AdmissionLevel.h
@@ -11,25 +11,27 @@
 /**
     How much of the order of refusal a gate admits, from its most important end: 1 is all.
 
-    A feedback on how long requests wait for a slot. It falls by an amount that grows with
-    the wait and rises slowly while nothing waits; its steps are small since what the
-    entries refuse shows here only after the services above have done their part.
+    At the end of each period the level is multiplied by what the slots can do over what
+    was asked of them, less what waits already. A period is about as long as a change takes
+    to show here: what the entries refuse is missed only after the services above have done
+    their part, so a faster loop would swing.
 */
 class AdmissionLevel
 {
 public:
     //==============================================================================
-    /** How long one window of measurement lasts. */
-    static constexpr Duration window = Milliseconds (100);
+    /** Between two looks at the load. */
+    static constexpr Duration period = Milliseconds (300);
 
-    /** A request was given a slot after this wait, or was refused after it. */
-    void onWait (Duration wait) noexcept;
+    /** What one period was like. */
+    struct Load
+    {
+        std::uint64_t m_asked = 0; /**< requests that came, refused ones included */
+        std::size_t m_waiting = 0; /**< requests that wait now */
+        double m_capacity = 0.0;   /**< requests that the slots can do in a period; 0: not known */
+    };
 
-    /** Ends a window.
-
-        @param oldestWait   of what waits still
-    */
-    void onWindowEnd (Duration oldestWait) noexcept;
+    void onPeriodEnd (const Load& load) noexcept;
 
     /** @returns the level in thousandths */
     std::uint16_t permille() const noexcept;
@@ -37,8 +39,6 @@
 private:
     //==============================================================================
     double m_level = 1.0;
-    Duration m_waits {};
-    std::int64_t m_requests = 0;
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/EntryAdmission.cpp
+++ b/modules/plankledge_policy/relay/EntryAdmission.cpp
@@ -25,7 +25,7 @@
 {
     constexpr std::uint64_t cohorts = 1000;
     const auto cohort = static_cast<double> (random.below (cohorts)) / cohorts;
-    const auto share = isComingBack (route.m_name, timeout) ? cohort / 2.0 : cohort;
+    const auto share = isComingBack (route.m_name, timeout) ? (1.0 + cohort) / 2.0 : cohort / 2.0;
     const auto place = routes.placeOfPriority (route.m_priority) + share * routes.widthOfPriority();
 
     if (const auto level = levelOf (service, peers); place >= level)
--- a/modules/plankledge_policy/relay/EntryAdmission.h
+++ b/modules/plankledge_policy/relay/EntryAdmission.h
@@ -18,7 +18,8 @@
     its place in the order of refusal lies below the level of each of them, so that no
     work is begun above a service which has no room for it. The place is its route's
     priority and, within that, a random cohort; one that comes back after a refusal draws
-    from the better half.
+    from the worse half: under lasting overload as many are refused twice either way, and
+    an answer to a first attempt is worth more than one to a second.
 */
 class EntryAdmission
 {
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/** Held requests look for a target again, and silent peers are noticed, after this. */
+constexpr Duration windowPeriod = Milliseconds (100);
+
 /** Between two hellos to a peer. */
 constexpr Duration helloPeriod = Milliseconds (500);
 
@@ -40,7 +43,8 @@
 {
     const auto now = m_turn.now();
     m_turn.emit (PublishMember { m_turn.settings().m_self });
-    m_turn.timers().set (now + AdmissionLevel::window, TimerKind::relayWindow);
+    m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
+    m_turn.timers().set (now + AdmissionLevel::period, TimerKind::admissionPeriod);
     m_turn.timers().set (now + m_turn.jittered (helloPeriod / 4), TimerKind::peerHello);
 }
 
@@ -63,6 +67,9 @@
         return m_gate.onHoldEnd (m_turn, timer.m_subject);
     case TimerKind::relayWindow:
         return onWindowEnd();
+    case TimerKind::admissionPeriod:
+        m_gate.onPeriodEnd (m_turn);
+        return m_turn.timers().set (m_turn.now() + AdmissionLevel::period, TimerKind::admissionPeriod);
     case TimerKind::peerHello:
         greetAll();
         return m_turn.timers().set (m_turn.now() + helloPeriod, TimerKind::peerHello);
@@ -84,7 +91,7 @@
             LogDecision { Decision::peerLost, {}, { { "peer", instance }, { "reason", "silent" } } });
 
     m_entry.retryHeld (m_turn);
-    m_turn.timers().set (m_turn.now() + AdmissionLevel::window, TimerKind::relayWindow);
+    m_turn.timers().set (m_turn.now() + windowPeriod, TimerKind::relayWindow);
 }
 
 //==============================================================================
--- a/modules/plankledge_policy/relay/TargetChoice.cpp
+++ b/modules/plankledge_policy/relay/TargetChoice.cpp
@@ -14,9 +14,18 @@
 /** What another zone costs, as part of the objective. */
 constexpr int zonePenaltyDivisor = 10;
 
+/** How often a wait counts against the time of the work itself. */
+constexpr int waitWeight = 4;
+
 /** Expected times are made longer at random by up to this, in percent. */
 constexpr std::uint64_t spreadPercent = 10;
 
+/** One choice in so many is made at random among the targets of the own zone. */
+constexpr std::uint64_t choicesPerTrial = 50;
+
+/** A target that fails more often than this is not tried at random. */
+constexpr std::uint16_t mostFailuresOfTrial = 300;
+
 constexpr double permille = 1000.0;
 
 Duration scaled (Duration duration, double factor) noexcept
@@ -34,25 +43,42 @@
     return failures + std::max (leastZonePenalty, needs.m_latencyObjective / zonePenaltyDivisor);
 }
 
+/** @returns any target of the own zone that has free slots and seldom fails, or nullptr */
+const Peer* chooseAny (const std::vector<const Peer*>& candidates, const ChoiceNeeds& needs, Random& random)
+{
+    std::vector<const Peer*> fit;
+
+    for (const auto* peer : candidates)
+        if (peer->m_member.m_zone == needs.m_zone && peer->load() < peer->m_gate.m_limit &&
+            peer->m_gate.m_failurePermille < mostFailuresOfTrial &&
+            ! needs.m_tried.contains (peer->m_member.m_id.m_instance))
+            fit.push_back (peer);
+
+    return fit.empty() ? nullptr : fit[random.below (fit.size())];
+}
+
 } // namespace
 
 //==============================================================================
-Duration expectedCompletion (const Peer& peer) noexcept
+Duration expectedWait (const Peer& peer) noexcept
 {
     const auto& gate = peer.m_gate;
     const auto limit = std::max<std::uint32_t> (1, gate.m_limit);
     const auto load = peer.load() + 1;
 
     if (load <= limit)
-        return gate.m_serviceTime;
+        return {};
 
-    const auto rounds = 1.0 + static_cast<double> (load - limit) / static_cast<double> (limit);
-    return scaled (gate.m_serviceTime, rounds);
+    return scaled (gate.m_serviceTime, static_cast<double> (load - limit) / static_cast<double> (limit));
 }
 
 const Peer* chooseTarget (const std::vector<const Peer*>& candidates, const ChoiceNeeds& needs,
                           Random& random)
 {
+    if (random.below (choicesPerTrial) == 0)
+        if (const auto* peer = chooseAny (candidates, needs, random))
+            return peer;
+
     const Peer* best = nullptr;
     Duration bestCost {};
 
@@ -62,7 +88,8 @@
             continue;
 
         const auto spread = 1.0 + static_cast<double> (random.below (spreadPercent)) / 100.0;
-        const auto cost = scaled (expectedCompletion (*peer), spread) + penaltyOf (*peer, needs);
+        const auto time = peer->m_gate.m_serviceTime + expectedWait (*peer) * waitWeight;
+        const auto cost = scaled (time, spread) + penaltyOf (*peer, needs);
 
         if (best != nullptr && cost >= bestCost)
             continue;
--- a/modules/plankledge_policy/relay/TargetChoice.h
+++ b/modules/plankledge_policy/relay/TargetChoice.h
@@ -18,16 +18,18 @@
     std::set<InstanceName> m_tried; /**< not again */
 };
 
-/** @returns how long a new request would take there: waiting for a slot, and its work */
-Duration expectedCompletion (const Peer& peer) noexcept;
+/** @returns how long a new request would wait there for a slot */
+Duration expectedWait (const Peer& peer) noexcept;
 
 /**
     Chooses the target where a request is expected to end soonest.
 
-    A target in another availability zone must be sooner by a tenth of the objective,
-    since bytes between zones are dear; one that fails often must be sooner by as much of
-    the objective as it fails. Times are spread a little so that nodes which know the
-    same don't all take the same target.
+    Waiting counts several times: while one target has a queue, another one's free slots
+    are lost. A target in another availability zone must be sooner by a part of the
+    objective, since bytes between zones are dear; one that fails often must be sooner by
+    as much of the objective as it fails. Times are spread a little so that nodes which
+    know the same don't all take the same target, and now and then any target is taken, so
+    that all are known by their real work.
 
     @param candidates   nodes that take work
     @returns the choice, or nullptr where all were tried
--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace plankledge
 {
@@ -33,6 +34,9 @@
 
 constexpr std::uint16_t serverError = 500;
 
+/** A move of the admission level is logged for each tenth that it passes. */
+constexpr int logStep = 100;
+
 RelayResult refusal (Reason reason)
 {
     return { Outcome::notRun, reason, {}, {} };
@@ -59,12 +63,10 @@
     const auto id = m_next++;
     Call call { caller, std::move (request), turn.now(), {}, {}, false };
     call.m_deadline = turn.now() + call.m_request.m_timeLeft;
+    ++m_asked;
 
     if (const auto reason = refusalOf (turn, id, call); reason != Reason::none)
     {
-        if (reason == Reason::overloaded)
-            m_level.onWait (expectedWait (id, call));
-
         turn.emit (LogDecision {
             Decision::gateRefused,
             call.m_request.m_content.m_id,
@@ -144,7 +146,6 @@
     call.m_dispatchedAt = turn.now();
     ++m_running;
     ++turn.counters().m_dispatches;
-    m_level.onWait (waited);
     m_byRequest[request.m_content.m_id] = id;
     m_graph.onRequest (request.m_route);
 
@@ -286,30 +287,39 @@
     if (found == m_calls.end() || found->second.m_isDispatched)
         return;
 
-    m_level.onWait (turn.now() - found->second.m_receivedAt);
     finish (turn, id, refusal (Reason::overloaded));
 }
 
 void TargetGate::onWindowEnd (Turn& turn)
 {
-    const auto before = m_level.permille();
-    Duration oldest {};
-
-    for (const auto& [key, id] : m_queue)
-        oldest = std::max (oldest, Duration (turn.now() - m_calls.at (id).m_receivedAt));
-
-    m_level.onWindowEnd (oldest);
     m_failures *= failuresKept;
     updateOpen (turn);
     dispatchNext (turn);
+}
 
-    // One line for each tenth that the level moved through.
-    if (before / 100 != m_level.permille() / 100)
-        turn.emit (LogDecision { Decision::admissionMoved,
-                                 {},
-                                 { { "admitted_permille", fmt::format ("{}", m_level.permille()) },
-                                   { "queued", fmt::format ("{}", m_queue.size()) },
-                                   { "service_time_ms", fmt::format ("{:.1f}", m_serviceTime / 1000.0) } } });
+void TargetGate::onPeriodEnd (Turn& turn)
+{
+    const auto before = m_level.permille();
+    const auto asked = std::exchange (m_asked, 0);
+    const auto capacity = capacityOf (AdmissionLevel::period);
+    m_level.onPeriodEnd ({ asked, m_queue.size(), capacity });
+
+    if (before / logStep == m_level.permille() / logStep)
+        return;
+
+    turn.emit (LogDecision { Decision::admissionMoved,
+                             {},
+                             { { "admitted_permille", fmt::format ("{}", m_level.permille()) },
+                               { "asked", fmt::format ("{}", asked) },
+                               { "capacity", fmt::format ("{:.0f}", capacity) },
+                               { "queued", fmt::format ("{}", m_queue.size()) },
+                               { "service_time_ms", fmt::format ("{:.1f}", m_serviceTime / 1000.0) } } });
+}
+
+/** @returns how many requests the slots can do in a time; 0 while the service time is not known */
+double TargetGate::capacityOf (Duration time) const noexcept
+{
+    return m_serviceTime > 0.0 ? static_cast<double> (time.count()) * limit() / m_serviceTime : 0.0;
 }
 
 void TargetGate::stop (Turn& turn)
--- a/modules/plankledge_policy/relay/TargetGate.h
+++ b/modules/plankledge_policy/relay/TargetGate.h
@@ -60,6 +60,7 @@
     void onDeadline (Turn& turn, CallId id);
     void onHoldEnd (Turn& turn, CallId id);
     void onWindowEnd (Turn& turn);
+    void onPeriodEnd (Turn& turn);
 
     /** Takes nothing new any more; what runs is finished. */
     void stop (Turn& turn);
@@ -95,6 +96,7 @@
 
     static QueueKey keyOf (CallId id, const Call& call) noexcept;
     std::uint32_t limit() const noexcept;
+    double capacityOf (Duration time) const noexcept;
     Duration expectedWait (CallId id, const Call& call) const noexcept;
     Reason refusalOf (Turn& turn, CallId id, const Call& call) const noexcept;
     void dispatchNext (Turn& turn);
@@ -117,6 +119,7 @@
     std::map<QueueKey, CallId> m_queue;
     std::size_t m_running = 0;
     CallId m_next = 1;
+    std::uint64_t m_asked = 0;  /**< requests that came in this period */
     double m_serviceTime = 0.0; /**< microseconds, moving average */
     double m_failures = 0.0;    /**< share of recent answers */
     Time m_shutUntil;           /**< after a connection was refused */
--- a/modules/plankledge_runtime/KeyedNode.cpp
+++ b/modules/plankledge_runtime/KeyedNode.cpp
@@ -25,7 +25,10 @@
                                    respond (answerAdmin (request));
                                    return std::function<void()>();
                                },
-                                [] (HttpServerError error) { return makeHttpError (error); } })
+                                [this] (HttpServerError error) {
+                                    ++m_metrics.m_badHttp[error];
+                                    return makeHttpError (error);
+                                } })
 {
     m_node.addEdge (handlerOf (m_callers));
     m_node.addEdge (handlerOf (m_target));
