--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -12,9 +12,9 @@
 namespace
 {
 
-/** The part of the target's slots that is used: some targets slow down when nearly full, and a new
-   connection may hold a slot for a moment. */
-constexpr double usedSlots = 0.94;
+/** The part of the target's slots that is used: some targets slow down when nearly full. Measured on the users'
+    bench: at 60 of 63 slots a target took 1.3 times as long, at 59 of 63 and 19 of 20 it did not. */
+constexpr std::uint32_t usedSlotsPercent = 95;
 
 /** Weight of a new observation in the moving averages of service time and failures. */
 constexpr double weightOfNew = 0.05;
@@ -95,7 +95,7 @@
 
 std::uint32_t TargetGate::limit() const noexcept
 {
-    return std::max (1U, static_cast<std::uint32_t> (m_target.slots() * usedSlots));
+    return std::max (1U, m_target.slots() * usedSlotsPercent / 100);
 }
 
 Duration TargetGate::expectedWait (CallId id, const Call& call) const noexcept
