Calls inherit the urgency of the request they are for; silent peers' repeatable requests go elsewhere; fewer control bytes

Change: the gate's queue goes by the urgency of the chain's first request, then arrival; one status in eight reports calls; hellos each 700 ms; a repeatable request at a peer that fell silent takes a token and goes elsewhere.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -8,6 +8,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -175,7 +176,7 @@
 {
     ConfigurationVersion m_version = 0;
     GateStatus m_gate;
-    std::vector<CallEdge> m_calls; /**< seen at the own target */
+    std::optional<std::vector<CallEdge>> m_calls; /**< seen at the own target; not in every status */
 
     auto operator<=> (const PeerStatus&) const = default;
 
--- a/modules/plankledge_policy/relay/PeerTable.h
+++ b/modules/plankledge_policy/relay/PeerTable.h
@@ -39,7 +39,7 @@
     //==============================================================================
     /** A peer that was not heard for so long takes no requests: two hellos unanswered, and a margin for
         pauses of a process that has used up its share of a processor. */
-    static constexpr Duration silenceLimit = Milliseconds (1200);
+    static constexpr Duration silenceLimit = Milliseconds (1600);
 
     explicit PeerTable (const Member& self);
 
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -12,7 +12,10 @@
 constexpr Duration windowPeriod = Milliseconds (100);
 
 /** Between two hellos to a peer. */
-constexpr Duration helloPeriod = Milliseconds (500);
+constexpr Duration helloPeriod = Milliseconds (700);
+
+/** One status in so many tells the calls that were seen; they change slowly and take the most bytes. */
+constexpr std::uint64_t statusesPerCallReport = 8;
 
 /** A stopping node looks whether it has finished after this. */
 constexpr Duration stopPeriod = Milliseconds (100);
@@ -87,8 +90,11 @@
     m_calls.onPeerEdges (m_peers.self(), m_gate.callEdges());
 
     for (const auto& instance : m_peers.takeSilent (m_turn.now()))
+    {
         m_turn.emit (
             LogDecision { Decision::peerLost, {}, { { "peer", instance }, { "reason", "silent" } } });
+        m_entry.onPeerSilent (m_turn, instance);
+    }
 
     m_entry.retryHeld (m_turn);
     m_turn.timers().set (m_turn.now() + windowPeriod, TimerKind::relayWindow);
@@ -108,9 +114,14 @@
         greet (peer->m_member);
 }
 
-PeerStatus RelayDecisions::status() const
+PeerStatus RelayDecisions::status()
 {
-    return { m_routes.version(), m_gate.status(), m_gate.callEdges() };
+    PeerStatus status { m_routes.version(), m_gate.status(), std::nullopt };
+
+    if (m_turn.random().below (statusesPerCallReport) == 0)
+        status.m_calls = m_gate.callEdges();
+
+    return status;
 }
 
 /** Peers must learn at once that a gate shut, and soon that one opened. */
@@ -216,7 +227,9 @@
 void RelayDecisions::onMessage (LinkId, const NodeId& from, const PeerStatus& message)
 {
     m_peers.onGate (from.m_instance, message.m_gate);
-    m_calls.onPeerEdges (from.m_instance, message.m_calls);
+
+    if (message.m_calls.has_value())
+        m_calls.onPeerEdges (from.m_instance, *message.m_calls);
 
     if (const auto* peer = m_peers.find (from.m_instance))
         m_routes.onPeerVersion (m_turn, from.m_instance, peer->m_member.m_endpoint, message.m_version);
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -70,7 +70,7 @@
     void greetAll();
     void onGateMoved();
     void onPeerDown (const InstanceName& instance);
-    PeerStatus status() const;
+    PeerStatus status();
 
     Turn& m_turn;
     const RelaySettings m_settings;
--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -17,7 +17,7 @@
 
 /** A new request is kept waiting for this part of its objective before it is refused: a caller who is refused
    by then loses little. */
-constexpr double heldShareOfObjective = 0.2;
+constexpr double heldShareOfObjective = 0.23;
 
 /** A call for a request that runs already is kept waiting until so long before its deadline. */
 constexpr Duration nestedHoldMargin = Milliseconds (50);
@@ -75,9 +75,7 @@
     if (isStopping() && ! request.m_isNested && turn.now() - *m_stoppedAt > entryOpenAfterStop)
         return refuse (turn, received, Reason::draining);
 
-    if (request.m_isNested)
-        noteNestedCall (request);
-    else if (! isAdmitted (turn, request, received.m_timeout.value_or (usualTimeout)))
+    if (! request.m_isNested && ! isAdmitted (turn, request, received.m_timeout.value_or (usualTimeout)))
         return refuse (turn, received, Reason::overloadedDownstream);
 
     const auto id = m_next++;
@@ -97,8 +95,16 @@
     request.m_content = received.m_content;
     request.m_route = route;
     request.m_service = chooseService (route);
-    request.m_isNested = m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)) != nullptr;
+    request.m_urgency = static_cast<std::uint16_t> (route.m_priority);
     request.m_receivedAt = turn.now();
+
+    if (const auto* parent = m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)))
+    {
+        request.m_isNested = true;
+        request.m_urgency = parent->m_urgency;
+        m_parts.m_gate.onNestedCall (parent->m_route, route.m_name, request.m_service);
+    }
+
     request.m_deadline = turn.now() + std::min (received.m_timeout.value_or (usualTimeout), route.m_timeout);
 
     const auto held = Duration (static_cast<Duration::rep> (
@@ -132,12 +138,6 @@
     return route.m_services[best].m_service;
 }
 
-void RelayEntry::noteNestedCall (Request& request)
-{
-    const auto* parent = m_parts.m_gate.findRunning (parentOf (request.m_content.m_id));
-    m_parts.m_gate.onNestedCall (*parent, request.m_route.m_name, request.m_service);
-}
-
 bool RelayEntry::isAdmitted (Turn& turn, const Request& request, Duration timeout)
 {
     const auto refusal =
@@ -209,7 +209,7 @@
     message.m_service = request.m_service;
     message.m_callerService = m_self.m_service;
     message.m_route = request.m_route.m_name;
-    message.m_urgency = static_cast<std::uint16_t> (request.m_route.m_priority);
+    message.m_urgency = request.m_urgency;
     message.m_isNested = request.m_isNested;
     message.m_timeLeft = request.m_deadline - now;
     message.m_longestQueueing = std::max (Duration::zero(), Duration (request.m_holdEnd - now));
@@ -347,15 +347,20 @@
     }
 }
 
-void RelayEntry::onPeerLost (Turn& turn, const InstanceName& instance)
+std::vector<CallId> RelayEntry::requestsAt (const InstanceName& instance) const
 {
-    std::vector<CallId> lost;
+    std::vector<CallId> result;
 
     for (const auto& [id, request] : m_requests)
         if (request.m_instance == instance)
-            lost.push_back (id);
+            result.push_back (id);
+
+    return result;
+}
 
-    for (const auto id : lost)
+void RelayEntry::onPeerLost (Turn& turn, const InstanceName& instance)
+{
+    for (const auto id : requestsAt (instance))
     {
         auto& request = m_requests.at (id);
         detach (request);
@@ -364,6 +369,30 @@
     }
 }
 
+void RelayEntry::onPeerSilent (Turn& turn, const InstanceName& instance)
+{
+    const RelayResult silence { Outcome::unknown, Reason::peerLost, {}, {} };
+
+    for (const auto id : requestsAt (instance))
+    {
+        auto& request = m_requests.at (id);
+        ++request.m_arrivals;
+        const bool isSentAgain = maySendAgain (turn, request, silence);
+        --request.m_arrivals;
+
+        // Without a second sending it may still be answered.
+        if (! isSentAgain)
+            continue;
+
+        ++request.m_arrivals;
+        ++turn.counters().m_retries[RetryReason::connectionLost];
+        request.m_mayHaveRun = true;
+        request.m_tried.insert (instance);
+        withdraw (turn, request);
+        send (turn, id);
+    }
+}
+
 /** The request came back without an answer: another target, or the end. */
 void RelayEntry::onNotAnswered (Turn& turn, CallId id, const RelayResult& result)
 {
--- a/modules/plankledge_policy/relay/RelayEntry.h
+++ b/modules/plankledge_policy/relay/RelayEntry.h
@@ -49,6 +49,9 @@
     /** No connection came up: these calls never left this node. */
     void onPeerUnreachable (Turn& turn, const InstanceName& instance, const std::vector<CallId>& calls);
 
+    /** The peer does not answer: what may be repeated is sent elsewhere. */
+    void onPeerSilent (Turn& turn, const InstanceName& instance);
+
     /** What was sent to the peer may have arrived. */
     void onPeerLost (Turn& turn, const InstanceName& instance);
 
@@ -75,6 +78,7 @@
         Route m_route;
         ServiceName m_service;
         bool m_isNested = false;
+        std::uint16_t m_urgency = 0; /**< its route's priority; a call has that of the request it is for */
         Time m_receivedAt;
         Time m_deadline;
         Time m_holdEnd;
@@ -92,8 +96,8 @@
     const ServiceName& chooseService (const Route& route);
     Request makeRequest (Turn& turn, const RelayRequestReceived& received, const Route& route);
     bool isAdmitted (Turn& turn, const Request& request, Duration timeout);
-    void noteNestedCall (Request& request);
 
+    std::vector<CallId> requestsAt (const InstanceName& instance) const;
     void send (Turn& turn, CallId id);
     void sendTo (Turn& turn, CallId id, const Peer& peer);
     void hold (Turn& turn, CallId id);
--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -90,7 +90,7 @@
 
 TargetGate::QueueKey TargetGate::keyOf (CallId id, const Call& call) noexcept
 {
-    return { ! call.m_request.m_isNested, call.m_request.m_urgency, id };
+    return { call.m_request.m_urgency, id };
 }
 
 std::uint32_t TargetGate::limit() const noexcept
@@ -395,10 +395,10 @@
 }
 
 //==============================================================================
-const RouteName* TargetGate::findRunning (std::string_view requestId) const noexcept
+const RelayRequest* TargetGate::findRunning (std::string_view requestId) const noexcept
 {
     const auto found = m_byRequest.find (requestId);
-    return found == m_byRequest.end() ? nullptr : &m_calls.at (found->second).m_request.m_route;
+    return found == m_byRequest.end() ? nullptr : &m_calls.at (found->second).m_request;
 }
 
 void TargetGate::onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service)
--- a/modules/plankledge_policy/relay/TargetGate.h
+++ b/modules/plankledge_policy/relay/TargetGate.h
@@ -8,7 +8,7 @@
 
 #include <functional>
 #include <map>
-#include <tuple>
+#include <utility>
 
 namespace plankledge
 {
@@ -27,10 +27,9 @@
 /**
     Stands in front of the own target: all requests for it pass here, from every node.
 
-    It keeps the target's own queue empty. What has no slot waits here, calls for requests
-    that run already first, then by urgency; what can't have a slot in time is refused
-    before it costs anything. Once the target has said that it leaves, or this node stops,
-    nothing new is taken.
+    It keeps the target's own queue empty. What has no slot waits here, by urgency; what
+    can't have a slot in time is refused before it costs anything. Once the target has said
+    that it leaves, or this node stops, nothing new is taken.
 
     @see RelayEntry
 */
@@ -66,8 +65,8 @@
     void stop (Turn& turn);
 
     //==============================================================================
-    /** @returns the route of a request that runs at the target, or nullptr */
-    const RouteName* findRunning (std::string_view requestId) const noexcept;
+    /** @returns a request that runs at the target, or nullptr */
+    const RelayRequest* findRunning (std::string_view requestId) const noexcept;
 
     /** A request that runs at the target made a call. */
     void onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service);
@@ -81,8 +80,8 @@
 
 private:
     //==============================================================================
-    /** The order of the queue: calls of running requests, urgency, arrival. */
-    using QueueKey = std::tuple<bool, std::uint16_t, CallId>;
+    /** The order of the queue: urgency, then arrival. */
+    using QueueKey = std::pair<std::uint16_t, CallId>;
 
     struct Call
     {
