Choice of target: work within an eighth of the objective counts alike between zones

Cause: slow zones sent work to the fast one while their own slots were free, and a fast zone's overload spilled late.

--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -227,8 +227,10 @@
                                    { "gate_age_ms", milliseconds (now - peer.m_heardAt) },
                                    { "time_left_ms", milliseconds (message.m_timeLeft) } } });
 
+    const GateCaller self { 0, instance, message.m_callId };
+
     if (instance == m_self.m_id.m_instance)
-        m_parts.m_gate.receive (turn, { 0, instance, message.m_callId }, std::move (message));
+        m_parts.m_gate.receive (turn, self, std::move (message));
     else
         turn.emit (SendToPeer { instance, peer.m_member.m_endpoint, std::move (message) });
 }
--- a/modules/plankledge_policy/relay/TargetChoice.cpp
+++ b/modules/plankledge_policy/relay/TargetChoice.cpp
@@ -17,6 +17,13 @@
 /** How often a wait counts against the time of the work itself. */
 constexpr int waitWeight = 4;
 
+/** Work that takes less than this part of the objective is fast enough: there is no use in going to another
+    zone for faster work still. */
+constexpr int fastEnoughDivisor = 8;
+
+/** Among targets that are fast enough the faster one is preferred by this part of the difference. */
+constexpr int speedPreferenceDivisor = 4;
+
 /** Expected times are made longer at random by up to this, in percent. */
 constexpr std::uint64_t spreadPercent = 10;
 
@@ -43,6 +50,13 @@
     return failures + std::max (leastZonePenalty, needs.m_latencyObjective / zonePenaltyDivisor);
 }
 
+Duration timeOf (const Peer& peer, const ChoiceNeeds& needs) noexcept
+{
+    const auto work = peer.m_gate.m_serviceTime;
+    const auto counted = std::max (work, needs.m_latencyObjective / fastEnoughDivisor);
+    return counted + work / speedPreferenceDivisor + expectedWait (peer) * waitWeight;
+}
+
 /** @returns any target of the own zone that has free slots and seldom fails, or nullptr */
 const Peer* chooseAny (const std::vector<const Peer*>& candidates, const ChoiceNeeds& needs, Random& random)
 {
@@ -88,8 +102,7 @@
             continue;
 
         const auto spread = 1.0 + static_cast<double> (random.below (spreadPercent)) / 100.0;
-        const auto time = peer->m_gate.m_serviceTime + expectedWait (*peer) * waitWeight;
-        const auto cost = scaled (time, spread) + penaltyOf (*peer, needs);
+        const auto cost = scaled (timeOf (*peer, needs), spread) + penaltyOf (*peer, needs);
 
         if (best != nullptr && cost >= bestCost)
             continue;
