A stopping node's gate stays open for 1.4 s, and the node ends after 2.4 s

Ruled out: slow starts (ready within 0.1 s; the target's next announcement comes within 1.5 s). Change: the gate shuts 1.4 s after the stop, when nothing that it begins can outlast the node; the node ends once the platform has had two answers that it is not ready.

--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -20,8 +20,13 @@
 /** A stopping node looks whether it has finished after this. */
 constexpr Duration stopPeriod = Milliseconds (100);
 
-/** A stopping node goes on at least so long: until the platform has noticed that it is not ready. */
-constexpr Duration leastStop = Milliseconds (3300);
+/** A stopping node's gate stays open so long: the node must go on for its callers anyway, and its target is
+    well. What is begun by then has time to end before the node does. */
+constexpr Duration gateOpenAfterStop = Milliseconds (1400);
+
+/** A stopping node goes on at least so long: the platform asks once a second whether it is ready, and sends
+    its callers elsewhere after two misses. */
+constexpr Duration leastStop = Milliseconds (2400);
 
 /** A stopping node ends so long before it would be killed. */
 constexpr Duration stopMargin = Milliseconds (500);
@@ -254,13 +259,16 @@
     m_stoppedAt = m_turn.now();
     m_turn.emit (WriteLog { Notice::drainStarted, {}, 0 });
     m_entry.stop (m_turn.now());
-    m_gate.stop (m_turn);
     m_turn.timers().set (m_turn.now() + stopPeriod, TimerKind::relayStop);
 }
 
 void RelayDecisions::onStopTime()
 {
     const auto since = m_turn.now() - *m_stoppedAt;
+
+    if (since >= gateOpenAfterStop)
+        m_gate.stop (m_turn);
+
     const bool isDone = m_gate.isIdle() && m_entry.isIdle();
 
     if ((isDone && since >= leastStop) || since >= m_settings.m_stopGrace - stopMargin)
--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -33,7 +33,7 @@
 
 /** A stopping node begins no new request after this: the platform has asked twice by then whether it is
    ready, and callers have gone elsewhere. */
-constexpr Duration entryOpenAfterStop = std::chrono::seconds (3);
+constexpr Duration entryOpenAfterStop = Milliseconds (2500);
 
 /** Below this a second sending is not worth it: no target would end it in time. */
 constexpr Duration leastTimeForRetry = Milliseconds (30);
