--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -217,20 +217,16 @@
 /** A decision on a relayed request, or a change of what the node believes. */
 enum class Decision : std::uint8_t
 {
-    requestAdmitted,
-    requestHeld,
     requestSent,
     requestSentAgain,
     requestAnswered,
     requestRefused,
     requestGivenUp,
     requestCancelled,
-    gateQueued,
     gateDispatched,
     gateRefused,
     gateEnded,
     targetAnnounced,
-    targetSilent,
     peerFound,
     peerLost,
     peerRegained,
@@ -254,7 +250,7 @@
 /** Writes a decision to the log with what decided it. */
 struct LogDecision
 {
-    Decision m_decision = Decision::requestAdmitted;
+    Decision m_decision = Decision::requestSent;
     std::string m_request; /**< the request's id; empty where it is about no request */
     std::vector<DecisionInput> m_inputs;
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -280,29 +280,16 @@
     broken    /**< the request may have run, and there is no whole answer */
 };
 
-/** What a target says of its own load on an answer. */
-struct ReportedLoad
-{
-    std::uint32_t m_running = 0;
-    std::uint32_t m_waiting = 0;
-    std::uint32_t m_slots = 0;
-
-    auto operator<=> (const ReportedLoad&) const = default;
-
-    template <class Archive> void serialize (Archive& archive) { archive (m_running, m_waiting, m_slots); }
-};
-
 /** How a relayed request ended at the own target. */
 struct TargetReply
 {
     CallId m_call = 0;
     TargetReplyKind m_kind = TargetReplyKind::broken;
     RelayedAnswer m_answer;
-    std::optional<ReportedLoad> m_load;
 
     auto operator<=> (const TargetReply&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_call, m_kind, m_answer, m_load); }
+    template <class Archive> void serialize (Archive& archive) { archive (m_call, m_kind, m_answer); }
 };
 
 enum class AnnouncedState : std::uint8_t
@@ -321,13 +308,12 @@
     ServiceName m_service;
     Endpoint m_endpoint;
     std::uint32_t m_slots = 0;
-    Duration m_coldLeft {}; /**< how much longer it is slow from its start */
 
     auto operator<=> (const TargetAnnounced&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_target, m_state, m_sequence, m_service, m_endpoint, m_slots, m_coldLeft);
+        archive (m_target, m_state, m_sequence, m_service, m_endpoint, m_slots);
     }
 };
 
--- a/modules/plankledge_policy/relay/PeerTable.cpp
+++ b/modules/plankledge_policy/relay/PeerTable.cpp
@@ -5,7 +5,6 @@
 
 PeerTable::PeerTable (const Member& self)
     : m_self (self.m_id.m_instance)
-    , m_zone (self.m_zone)
 {
     auto& own = m_peers[m_self];
     own.m_member = self;
--- a/modules/plankledge_policy/relay/PeerTable.h
+++ b/modules/plankledge_policy/relay/PeerTable.h
@@ -84,13 +84,11 @@
     std::vector<const Peer*> others() const;
 
     const InstanceName& self() const noexcept { return m_self; }
-    const ZoneName& zone() const noexcept { return m_zone; }
     std::size_t size() const noexcept { return m_peers.size(); }
 
 private:
     //==============================================================================
     const InstanceName m_self;
-    const ZoneName m_zone;
     std::map<InstanceName, Peer> m_peers;
 };
 
--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -49,8 +49,7 @@
 
 //==============================================================================
 RelayEntry::RelayEntry (const RelaySettings& settings, const Member& self, Parts parts)
-    : m_settings (settings)
-    , m_self (self)
+    : m_self (self)
     , m_parts (parts)
     , m_tokens (settings)
 {
--- a/modules/plankledge_policy/relay/RelayEntry.h
+++ b/modules/plankledge_policy/relay/RelayEntry.h
@@ -110,7 +110,6 @@
     Duration comeBackAfter (Turn& turn, Duration timeLeft) const;
     bool isStopping() const noexcept { return m_stoppedAt.has_value(); }
 
-    const RelaySettings m_settings;
     const Member m_self;
     Parts m_parts;
     EntryAdmission m_admission;
--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -51,8 +51,7 @@
 
 //==============================================================================
 TargetGate::TargetGate (const RelaySettings& settings, Hooks hooks)
-    : m_settings (settings)
-    , m_hooks (std::move (hooks))
+    : m_hooks (std::move (hooks))
     , m_target (settings.m_announcementPeriod)
 {
 }
--- a/modules/plankledge_policy/relay/TargetGate.h
+++ b/modules/plankledge_policy/relay/TargetGate.h
@@ -107,7 +107,6 @@
     void learn (const Call& call, Time now, bool isFailure) noexcept;
     void updateOpen (Turn& turn);
 
-    const RelaySettings m_settings;
     Hooks m_hooks;
     OwnTarget m_target;
     AdmissionLevel m_level;
