--- a/modules/plankledge_runtime/ProgramSettings.cpp
+++ b/modules/plankledge_runtime/ProgramSettings.cpp
@@ -103,6 +103,23 @@
 }
 
 //==============================================================================
+Severity parseSeverity (std::string_view name) noexcept
+{
+    if (name == "debug")
+        return Severity::debug;
+
+    if (name == "warning")
+        return Severity::warning;
+
+    return name == "error" ? Severity::error : Severity::info;
+}
+
+Incarnation newIncarnation()
+{
+    return static_cast<Incarnation> (
+        std::chrono::duration_cast<Duration> (std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
 void readFlagsFromEnvironment (const std::vector<std::string>& names)
 {
     gflags::SetCommandLineOption ("tryfromenv", fmt::format ("{}", fmt::join (names, ",")).c_str());
--- a/modules/plankledge_runtime/ProgramSettings.h
+++ b/modules/plankledge_runtime/ProgramSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plankledge_core/Identity.h"
+#include "plankledge_core/Logger.h"
 #include <optional>
 #include <string>
 #include <vector>
@@ -65,6 +66,12 @@
     std::vector<Fault> m_faults;
 };
 
+/** @returns the severity that a --log_level names; info where it names none */
+Severity parseSeverity (std::string_view name) noexcept;
+
+/** @returns the wall clock in microseconds, which a restarted node has higher */
+Incarnation newIncarnation();
+
 /** The exit code for settings or declarations that are not valid. */
 inline constexpr int exitBadSettings = 2;
 
--- a/programs/plankledge-node.cpp
+++ b/programs/plankledge-node.cpp
@@ -5,7 +5,6 @@
 #include "plankledge_runtime/ProgramSettings.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <chrono>
 #include <gflags/gflags.h>
 #include <random>
 
@@ -34,24 +33,6 @@
 
 using namespace plankledge;
 
-Severity parseSeverity (const std::string& name)
-{
-    if (name == "debug")
-        return Severity::debug;
-
-    if (name == "warning")
-        return Severity::warning;
-
-    return name == "error" ? Severity::error : Severity::info;
-}
-
-/** A restarted node must come out higher: the wall clock at start, in microseconds. */
-Incarnation newIncarnation()
-{
-    return static_cast<Incarnation> (
-        std::chrono::duration_cast<Duration> (std::chrono::system_clock::now().time_since_epoch()).count());
-}
-
 NodeOptions readOptions (SettingsCheck& check)
 {
     constexpr std::int64_t longestMs = 3600000;
