--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -288,6 +288,7 @@
 
     const auto instance = request.m_instance;
     const auto call = request.m_call;
+    request.m_tried.insert (instance);
     detach (request);
 
     if (instance == m_self.m_id.m_instance)
@@ -388,7 +389,6 @@
         ++request.m_arrivals;
         ++turn.counters().m_retries[RetryReason::connectionLost];
         request.m_mayHaveRun = true;
-        request.m_tried.insert (instance);
         withdraw (turn, request);
         send (turn, id);
     }
--- /dev/null
+++ b/tests/relay/CallGraph_test.cpp
@@ -0,0 +1,63 @@
+#include "plankledge_policy/relay/CallGraph.h"
+
+#include <doctest/doctest.h>
+
+namespace plankledge::test
+{
+
+TEST_CASE ("calls seen at a target become edges with their mean number")
+{
+    CallGraph graph;
+
+    for (int index = 0; index < 10; ++index)
+    {
+        graph.onRequest ("search");
+        graph.onCall ("search", "status", "lodgement");
+        graph.onCall ("search", "lookup", "corrections");
+        graph.onCall ("search", "lookup", "corrections");
+    }
+
+    const std::vector<CallEdge> expected { { "search", "lookup", "corrections", 2000 },
+                                           { "search", "status", "lodgement", 1000 } };
+    CHECK (graph.ownEdges() == expected);
+}
+
+TEST_CASE ("too few requests tell nothing, and old ones fade")
+{
+    CallGraph graph;
+    graph.onRequest ("search");
+    graph.onCall ("search", "status", "lodgement");
+    CHECK (graph.ownEdges().empty());
+
+    for (int index = 0; index < 2000; ++index)
+        graph.onRequest ("search");
+
+    REQUIRE (graph.ownEdges().size() == 1);
+    CHECK (graph.ownEdges()[0].m_callsPermille == 0);
+}
+
+TEST_CASE ("demand adds up over all depths and over what all peers saw")
+{
+    CallGraph graph;
+    graph.onPeerEdges ("one", { { "search", "status", "lodgement", 1000 } });
+    graph.onPeerEdges ("two", { { "status", "tile", "plans", 2000 } });
+    graph.onPeerEdges ("three", { { "tile", "lookup", "corrections", 4000 } });
+    graph.onPeerEdges ("four", { { "tile", "lookup", "corrections", 2000 } });
+    const auto demand = graph.demandOf ("search");
+    CHECK (demand.at ("lodgement") == doctest::Approx (1.0));
+    CHECK (demand.at ("plans") == doctest::Approx (2.0));
+    CHECK (demand.at ("corrections") == doctest::Approx (6.0));
+    CHECK (graph.demandOf ("unknown").empty());
+
+    graph.forget ("three");
+    CHECK (graph.demandOf ("search").at ("corrections") == doctest::Approx (4.0));
+}
+
+TEST_CASE ("calls in a circle end")
+{
+    CallGraph graph;
+    graph.onPeerEdges ("one", { { "a", "b", "one", 1000 }, { "b", "a", "two", 1000 } });
+    CHECK (graph.demandOf ("a").size() == 2);
+}
+
+} // namespace plankledge::test
