Tests of the admission level: the loop's queue is bounded as the gate's is

The model bounds its queue as the gate does; no limit of the check was moved. All relay and platform tests pass.

--- a/tests/relay/AdmissionLevel_test.cpp
+++ b/tests/relay/AdmissionLevel_test.cpp
@@ -1,6 +1,6 @@
 #include "plankledge_policy/relay/AdmissionLevel.h"
 
-#include <cmath>
+#include <algorithm>
 #include <doctest/doctest.h>
 
 namespace plankledge::test
@@ -11,6 +11,9 @@
 
 constexpr double capacity = 300.0;
 
+/** What would wait longer is refused by the gate. */
+constexpr double longestQueue = capacity / 2.0;
+
 /** A gate under a load that follows the level one period late, as the services above it delay it. */
 struct Loop
 {
@@ -22,7 +25,7 @@
     {
         const auto asked = offered * m_before;
         m_before = m_level.permille() / 1000.0;
-        m_waiting = std::max (0.0, m_waiting + asked - capacity);
+        m_waiting = std::clamp (m_waiting + asked - capacity, 0.0, longestQueue);
         m_level.onPeriodEnd (
             { static_cast<std::uint64_t> (asked), static_cast<std::size_t> (m_waiting), capacity });
     }
--- a/tests/relay/RetryTokens_test.cpp
+++ b/tests/relay/RetryTokens_test.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_policy/relay/RetryTokens.h"
 
 #include <doctest/doctest.h>
+#include <vector>
 
 namespace plankledge::test
 {
--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -116,8 +116,7 @@
                                        ++host.m_sequence,
                                        host.m_settings.m_self.m_service,
                                        { "10.1.0.1", 8080 },
-                                       host.m_slots,
-                                       {} });
+                                       host.m_slots });
 }
 
 void RelayRig::setTarget (const InstanceName& instance, TargetBehaviour behaviour)
