--- /dev/null
+++ b/modules/plankledge_policy/relay/EntryLog.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "plankledge_policy/Effects.h"
+#include "plankledge_policy/relay/EntryAdmission.h"
+#include "plankledge_policy/relay/EntryRequest.h"
+
+/** The log's lines about requests at their entry: each decision with the inputs that decided it. */
+namespace plankledge::detail
+{
+
+LogDecision logRefusal (const RelayRequestReceived& received, Reason reason, ConfigurationVersion version);
+LogDecision logNoRoom (const EntryRequest& request, const EntryAdmission::Refusal& refusal,
+                       ConfigurationVersion version);
+LogDecision logSent (const EntryRequest& request, const Peer& peer, ConfigurationVersion version, Time now);
+LogDecision logSentAgain (const EntryRequest& request, Reason reason);
+LogDecision logCancelled (const EntryRequest& request, Time now);
+LogDecision logGivenUp (const EntryRequest& request, Outcome outcome, Reason reason, Time now);
+LogDecision logAnswered (const EntryRequest& request, std::uint16_t status, Time now);
+
+} // namespace plankledge::detail
--- /dev/null
+++ b/modules/plankledge_policy/relay/EntryRequest.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "plankledge_policy/Events.h"
+#include "plankledge_policy/relay/RouteTable.h"
+
+#include <set>
+
+namespace plankledge::detail
+{
+
+/** A request at its entry, from its arrival to its answer. */
+struct EntryRequest
+{
+    Ticket m_ticket = 0;
+    RelayContent m_content;
+    Route m_route;
+    ServiceName m_service;
+    bool m_isNested = false;
+    std::uint16_t m_urgency = 0; /**< its route's priority; a call has that of the request it is for */
+    Time m_receivedAt;
+    Time m_deadline;
+    Time m_holdEnd;
+    std::set<InstanceName> m_tried;
+    std::uint32_t m_arrivals = 0; /**< sendings that may have reached a target */
+    bool m_mayHaveRun = false;    /**< a sending ended without anyone's word that it did not run */
+    unsigned m_redirects = 0;     /**< after refusals that cost nothing */
+    InstanceName m_instance;      /**< where it is now; empty: nowhere */
+    CallId m_call = 0;
+    bool m_isHeld = false;
+    Reason m_lastReason = Reason::noReachableInstance;
+};
+
+} // namespace plankledge::detail
--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -1,10 +1,11 @@
 #include "plankledge_policy/relay/RelayEntry.h"
 
+#include "plankledge_policy/relay/EntryLog.h"
+
 #include "plankledge_policy/relay/RequestIds.h"
 #include "plankledge_policy/relay/TargetChoice.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace plankledge
 {
@@ -40,11 +41,6 @@
 
 constexpr std::uint16_t serverError = 500;
 
-std::string milliseconds (Duration duration)
-{
-    return fmt::format ("{}", toMilliseconds (duration));
-}
-
 } // namespace
 
 //==============================================================================
@@ -93,7 +89,7 @@
     request.m_ticket = received.m_ticket;
     request.m_content = received.m_content;
     request.m_route = route;
-    request.m_service = chooseService (route);
+    request.m_service = m_shares.next (route);
     request.m_urgency = static_cast<std::uint16_t> (route.m_priority);
     request.m_receivedAt = turn.now();
 
@@ -113,30 +109,6 @@
     return request;
 }
 
-/** Smooth weighted round robin: each service's share is right over any short run of requests. */
-const ServiceName& RelayEntry::chooseService (const Route& route)
-{
-    if (route.m_services.size() == 1)
-        return route.m_services.front().m_service;
-
-    auto& owed = m_shares[route.m_name];
-    owed.resize (route.m_services.size(), 0.0);
-    double total = 0.0;
-    std::size_t best = 0;
-
-    for (std::size_t index = 0; index < owed.size(); ++index)
-    {
-        owed[index] += route.m_services[index].m_weight;
-        total += route.m_services[index].m_weight;
-
-        if (owed[index] > owed[best])
-            best = index;
-    }
-
-    owed[best] -= total;
-    return route.m_services[best].m_service;
-}
-
 bool RelayEntry::isAdmitted (Turn& turn, const Request& request, Duration timeout)
 {
     const auto refusal =
@@ -146,14 +118,7 @@
     if (! refusal.has_value())
         return true;
 
-    turn.emit (LogDecision { Decision::requestRefused,
-                             request.m_content.m_id,
-                             { { "reason", "no-room" },
-                               { "service", refusal->m_service },
-                               { "place", fmt::format ("{:.3f}", refusal->m_place) },
-                               { "level", fmt::format ("{:.3f}", refusal->m_level) },
-                               { "route", request.m_route.m_name },
-                               { "version", fmt::format ("{}", m_parts.m_routes.version()) } } });
+    turn.emit (detail::logNoRoom (request, *refusal, m_parts.m_routes.version()));
     return false;
 }
 
@@ -167,12 +132,7 @@
         result.m_comeBack = comeBackAfter (turn, received.m_timeout.value_or (usualTimeout));
 
     if (reason != Reason::overloadedDownstream)
-        turn.emit (LogDecision { Decision::requestRefused,
-                                 received.m_content.m_id,
-                                 { { "reason", std::string (nameOf (reason)) },
-                                   { "host", received.m_host },
-                                   { "path", received.m_content.m_path },
-                                   { "version", fmt::format ("{}", m_parts.m_routes.version()) } } });
+        turn.emit (detail::logRefusal (received, reason, m_parts.m_routes.version()));
 
     turn.emit (AnswerRelay { received.m_ticket, std::move (result), isStopping() });
 }
@@ -215,16 +175,7 @@
     message.m_sentAt = now.time_since_epoch();
 
     if (isLogged (request.m_content.m_id))
-        turn.emit (LogDecision { Decision::requestSent,
-                                 request.m_content.m_id,
-                                 { { "peer", instance },
-                                   { "route", request.m_route.m_name },
-                                   { "service", request.m_service },
-                                   { "version", fmt::format ("{}", m_parts.m_routes.version()) },
-                                   { "load", fmt::format ("{}", peer.load()) },
-                                   { "limit", fmt::format ("{}", peer.m_gate.m_limit) },
-                                   { "gate_age_ms", milliseconds (now - peer.m_heardAt) },
-                                   { "time_left_ms", milliseconds (message.m_timeLeft) } } });
+        turn.emit (detail::logSent (request, peer, m_parts.m_routes.version(), now));
 
     const GateCaller self { 0, instance, message.m_callId };
 
@@ -412,10 +363,7 @@
         const auto reason =
             result.m_outcome == Outcome::unknown ? RetryReason::connectionLost : RetryReason::notRun;
         ++turn.counters().m_retries[reason];
-        turn.emit (LogDecision { Decision::requestSentAgain,
-                                 request.m_content.m_id,
-                                 { { "reason", std::string (nameOf (result.m_reason)) },
-                                   { "arrivals", fmt::format ("{}", request.m_arrivals) } } });
+        turn.emit (detail::logSentAgain (request, result.m_reason));
         return send (turn, id);
     }
 
@@ -461,9 +409,7 @@
     withdraw (turn, request);
 
     if (isLogged (request.m_content.m_id))
-        turn.emit (LogDecision { Decision::requestCancelled,
-                                 request.m_content.m_id,
-                                 { { "waited_ms", milliseconds (turn.now() - request.m_receivedAt) } } });
+        turn.emit (detail::logCancelled (request, turn.now()));
 
     ++turn.counters().m_refusals[Reason::cancelled];
     finish (turn, id, {});
@@ -492,17 +438,7 @@
         result.m_comeBack = comeBackAfter (turn, request.m_deadline - now);
 
     ++turn.counters().m_systemAnswers[reason];
-    turn.emit (LogDecision { Decision::requestGivenUp,
-                             request.m_content.m_id,
-                             { { "outcome", std::string (nameOf (result.m_outcome)) },
-                               { "reason", std::string (nameOf (reason)) },
-                               { "route", request.m_route.m_name },
-                               { "service", request.m_service },
-                               { "arrivals", fmt::format ("{}", request.m_arrivals) },
-                               { "nested", request.m_isNested ? "yes" : "no" },
-                               { "tried", fmt::format ("{}", fmt::join (request.m_tried, ",")) },
-                               { "waited_ms", milliseconds (now - request.m_receivedAt) },
-                               { "time_left_ms", milliseconds (request.m_deadline - now) } } });
+    turn.emit (detail::logGivenUp (request, result.m_outcome, reason, now));
     finish (turn, id, std::move (result));
 }
 
@@ -517,12 +453,7 @@
 
     if (result.m_outcome == Outcome::completed &&
         (isLogged (request.m_content.m_id) || result.m_answer.m_status >= serverError))
-        turn.emit (LogDecision { Decision::requestAnswered,
-                                 request.m_content.m_id,
-                                 { { "status", fmt::format ("{}", result.m_answer.m_status) },
-                                   { "route", request.m_route.m_name },
-                                   { "tried", fmt::format ("{}", fmt::join (request.m_tried, ",")) },
-                                   { "took_ms", milliseconds (turn.now() - request.m_receivedAt) } } });
+        turn.emit (detail::logAnswered (request, result.m_answer.m_status, turn.now()));
 
     turn.emit (AnswerRelay { request.m_ticket, std::move (result), isStopping() });
 }
--- a/modules/plankledge_policy/relay/RelayEntry.h
+++ b/modules/plankledge_policy/relay/RelayEntry.h
@@ -2,12 +2,15 @@
 
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/EntryAdmission.h"
+#include "plankledge_policy/relay/EntryRequest.h"
 #include "plankledge_policy/relay/RetryTokens.h"
 #include "plankledge_policy/relay/RouteFollower.h"
+#include "plankledge_policy/relay/ServiceShares.h"
 #include "plankledge_policy/relay/TargetGate.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace plankledge
@@ -71,29 +74,10 @@
 
 private:
     //==============================================================================
-    struct Request
-    {
-        Ticket m_ticket = 0;
-        RelayContent m_content;
-        Route m_route;
-        ServiceName m_service;
-        bool m_isNested = false;
-        std::uint16_t m_urgency = 0; /**< its route's priority; a call has that of the request it is for */
-        Time m_receivedAt;
-        Time m_deadline;
-        Time m_holdEnd;
-        std::set<InstanceName> m_tried;
-        std::uint32_t m_arrivals = 0; /**< sendings that may have reached a target */
-        bool m_mayHaveRun = false;    /**< a sending ended without anyone's word that it did not run */
-        unsigned m_redirects = 0;     /**< after refusals that cost nothing */
-        InstanceName m_instance;      /**< where it is now; empty: nowhere */
-        CallId m_call = 0;
-        bool m_isHeld = false;
-        Reason m_lastReason = Reason::noReachableInstance;
-    };
+
+    using Request = detail::EntryRequest;
 
     void refuse (Turn& turn, const RelayRequestReceived& received, Reason reason);
-    const ServiceName& chooseService (const Route& route);
     Request makeRequest (Turn& turn, const RelayRequestReceived& received, const Route& route);
     bool isAdmitted (Turn& turn, const Request& request, Duration timeout);
 
@@ -118,7 +102,7 @@
     std::map<Ticket, CallId> m_byTicket;
     std::map<CallId, CallId> m_byCall; /**< a sending's id to its request's */
     std::set<CallId> m_held;
-    std::map<RouteName, std::vector<double>> m_shares; /**< what each service of a split route is owed */
+    ServiceShares m_shares;
     CallId m_next = 1;
     Time m_staleUntil;
     std::optional<Time> m_stoppedAt;
--- /dev/null
+++ b/tests/relay/ServiceShares_test.cpp
@@ -0,0 +1,66 @@
+#include "plankledge_policy/relay/ServiceShares.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+Route split (const RouteName& name, const std::vector<WeightedService>& services)
+{
+    Route route;
+    route.m_name = name;
+    route.m_services = services;
+    return route;
+}
+
+} // namespace
+
+//==============================================================================
+TEST_CASE ("every run of requests as long as the weights' sum has the exact shares")
+{
+    const std::vector<std::vector<WeightedService>> rows { { { "one", 1 } },
+                                                           { { "one", 90 }, { "two", 10 } },
+                                                           { { "one", 1 }, { "two", 1 }, { "three", 1 } },
+                                                           { { "one", 5 }, { "two", 0 }, { "three", 2 } } };
+
+    for (const auto& services : rows)
+    {
+        ServiceShares shares;
+        const auto route = split ("route", services);
+        std::uint32_t total = 0;
+
+        for (const auto& service : services)
+            total += service.m_weight;
+
+        for (int round = 0; round < 3; ++round)
+        {
+            std::map<ServiceName, std::uint32_t> counts;
+
+            for (std::uint32_t index = 0; index < total; ++index)
+                ++counts[shares.next (route)];
+
+            for (const auto& service : services)
+                CHECK (counts[service.m_service] == service.m_weight);
+        }
+    }
+}
+
+TEST_CASE ("routes don't disturb each other, and a change of weights counts at once")
+{
+    ServiceShares shares;
+    const auto first = split ("first", { { "one", 1 }, { "two", 1 } });
+    const auto second = split ("second", { { "one", 1 }, { "two", 1 } });
+    CHECK (shares.next (first) != shares.next (first));
+    CHECK (shares.next (second) != shares.next (second));
+
+    const auto changed = split ("first", { { "one", 1 }, { "two", 0 }, { "three", 0 } });
+
+    for (int index = 0; index < 5; ++index)
+        CHECK (shares.next (changed) == "one");
+}
+
+} // namespace plankledge::test
