--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/** The part of the target's slots that is used: some targets slow down when nearly full. The users' site files
-    name 0.95 of the slots as the load from which their smallest services take 1.3 times as long. */
+/** The part of the target's slots that is used: some targets slow down when nearly full. The users' site
+   files name 0.95 of the slots as the load from which their smallest services take 1.3 times as long. */
 constexpr std::uint32_t usedSlotsPercent = 95;
 
 /** Weight of a new observation in the moving averages of service time and failures. */
