Contact with a bounded part of each service's nodes, chosen by rendezvous hashing

Cause: every node said hello to every other each 0.7 s and was answered: at 70 nodes 13,800 messages a second, at 300 nodes 257,000.

Ruled out: a longer period alone (still grows with the square, and silence is noticed later); hellos only to peers used lately (a gate not used yet would never be known).

Change: PeerContacts keeps contact with at most 12 nodes of each service that requests need, also by their calls, 8 of them in the own zone. A hello tells the sender's gate as well, so one of two peers asks. Peers heard of in the last half second are not asked. Gate moves go over the connections that peers opened. The version of the routes rides on answers. A peer is silent once it leaves a hello unanswered for 0.6 s (it was 1.6 s without any word), and is asked as soon as requests are under way and nothing is heard for 0.2 s. PeerTable is indexed by service, so that a choice of target does not walk all nodes.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -142,10 +142,14 @@
     CallId m_callId = 0;
     RelayResult m_result;
     GateStatus m_gate;
+    ConfigurationVersion m_version = 0; /**< in force at the sender */
 
     auto operator<=> (const RelayAnswer&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_callId, m_result, m_gate); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_callId, m_result, m_gate, m_version);
+    }
 };
 
 /** The sender of a RelayRequest no longer waits. */
@@ -158,16 +162,22 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_callId); }
 };
 
-/** Says who the sender is, at a fixed period; answered by PeerStatus. */
+/** Says who the sender is and how its gate is; answered by PeerStatus. Sent where neither has heard of the
+    other's gate lately. */
 struct PeerHello
 {
     Member m_member;
     ConfigurationVersion m_version = 0;
-    Duration m_sentAt {}; /**< by the sender's steady clock */
+    GateStatus m_gate;
+    Duration m_sentAt {};        /**< by the sender's steady clock */
+    bool m_asksForCalls = false; /**< the answer is to tell the calls that were seen */
 
     auto operator<=> (const PeerHello&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_member, m_version, m_sentAt); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_member, m_version, m_gate, m_sentAt, m_asksForCalls);
+    }
 };
 
 /** What a node's gate and configuration are at; answers PeerHello, and is sent when the gate opens or shuts.
@@ -176,7 +186,7 @@
 {
     ConfigurationVersion m_version = 0;
     GateStatus m_gate;
-    std::optional<std::vector<CallEdge>> m_calls; /**< seen at the own target; not in every status */
+    std::optional<std::vector<CallEdge>> m_calls; /**< seen at the own target; where they were asked for */
 
     auto operator<=> (const PeerStatus&) const = default;
 
--- a/modules/plankledge_policy/relay/PeerTable.cpp
+++ b/modules/plankledge_policy/relay/PeerTable.cpp
@@ -1,5 +1,7 @@
 #include "plankledge_policy/relay/PeerTable.h"
 
+#include <algorithm>
+
 namespace plankledge
 {
 
@@ -9,6 +11,15 @@
     auto& own = m_peers[m_self];
     own.m_member = self;
     own.m_isHeard = true;
+    index();
+}
+
+void PeerTable::index()
+{
+    m_byService.clear();
+
+    for (auto& [instance, peer] : m_peers)
+        m_byService[peer.m_member.m_service].push_back (&peer);
 }
 
 bool PeerTable::learn (const Member& member, Source source)
@@ -19,11 +30,14 @@
         return false;
 
     // An address belongs to one node at a time: whoever is named with it last has it.
-    std::erase_if (m_peers, [&] (const auto& entry) {
+    const auto erased = std::erase_if (m_peers, [&] (const auto& entry) {
         return entry.first != instance && entry.first != m_self &&
                entry.second.m_member.m_endpoint == member.m_endpoint && ! entry.second.m_isHeard;
     });
 
+    if (erased > 0)
+        index();
+
     auto& peer = m_peers[instance];
 
     if (peer.m_member == member || (source == Source::store && peer.m_isHeard))
@@ -36,6 +50,7 @@
         peer = Peer();
 
     peer.m_member = member;
+    index();
     return ! isSameLife;
 }
 
@@ -45,7 +60,10 @@
 
     // A node that answers is there, whatever the store says.
     if (found != m_peers.end() && instance != m_self && ! found->second.m_isHeard)
+    {
         m_peers.erase (found);
+        index();
+    }
 }
 
 bool PeerTable::onHeard (const NodeId& from, Time now)
@@ -56,18 +74,21 @@
         return false;
 
     peer->m_heardAt = now;
+    peer->m_askedAt.reset();
     return ! std::exchange (peer->m_isHeard, true);
 }
 
-void PeerTable::onGate (const InstanceName& instance, const GateStatus& gate)
+bool PeerTable::onGate (const InstanceName& instance, const GateStatus& gate, Time now)
 {
     auto* peer = find (instance);
 
     if (peer == nullptr)
-        return;
+        return false;
 
-    peer->m_gate = gate;
+    const bool wasOpen = std::exchange (peer->m_gate, gate).m_isOpen;
+    peer->m_gateAt = now;
     peer->m_sentSince = 0;
+    return gate.m_isOpen && ! wasOpen;
 }
 
 void PeerTable::onSent (const InstanceName& instance)
@@ -82,13 +103,61 @@
     return peer != nullptr && instance != m_self && std::exchange (peer->m_isHeard, false);
 }
 
+void PeerTable::onCalls (const InstanceName& instance, Time now)
+{
+    if (auto* peer = find (instance))
+        peer->m_callsAt = now;
+}
+
+void PeerTable::onAsked (const InstanceName& instance, Time now)
+{
+    auto* peer = find (instance);
+
+    if (peer == nullptr)
+        return;
+
+    peer->m_lastAskedAt = now;
+
+    if (! peer->m_askedAt.has_value())
+        peer->m_askedAt = now;
+}
+
+bool PeerTable::onInboundLink (const InstanceName& instance, LinkId link)
+{
+    auto* peer = find (instance);
+    return peer != nullptr && std::exchange (peer->m_inboundLink, link) != link;
+}
+
+void PeerTable::onLinkClosed (LinkId link)
+{
+    for (auto& [instance, peer] : m_peers)
+        if (peer.m_inboundLink == link)
+            peer.m_inboundLink = 0;
+}
+
+void PeerTable::onPause (Time now) noexcept
+{
+    for (auto& [instance, peer] : m_peers)
+    {
+        peer.m_heardAt = std::max (peer.m_heardAt, now);
+
+        if (peer.m_askedAt.has_value())
+            peer.m_askedAt = now;
+    }
+}
+
 std::vector<InstanceName> PeerTable::takeSilent (Time now)
 {
     std::vector<InstanceName> silent;
 
     for (auto& [instance, peer] : m_peers)
     {
-        if (instance == m_self || ! peer.m_isHeard || now - peer.m_heardAt <= silenceLimit)
+        if (instance == m_self || ! peer.m_isHeard)
+            continue;
+
+        const bool isUnanswered = peer.m_askedAt.has_value() && now - *peer.m_askedAt > silenceLimit;
+
+        if (! isUnanswered && now - peer.m_heardAt <= forgottenAfter)
             continue;
 
         peer.m_isHeard = false;
@@ -115,13 +184,19 @@
 {
     std::vector<const Peer*> result;
 
-    for (const auto& [instance, peer] : m_peers)
-        if (peer.m_member.m_service == service && peer.m_isHeard && peer.m_gate.m_isOpen)
-            result.push_back (&peer);
+    for (const auto* peer : ofService (service))
+        if (peer->m_isHeard && peer->m_gate.m_isOpen)
+            result.push_back (peer);
 
     return result;
 }
 
+const std::vector<Peer*>& PeerTable::ofService (const ServiceName& service) const
+{
+    const auto found = m_byService.find (service);
+    return found == m_byService.end() ? m_none : found->second;
+}
+
 std::vector<const Peer*> PeerTable::others() const
 {
     std::vector<const Peer*> result;
--- a/modules/plankledge_policy/relay/PeerTable.h
+++ b/modules/plankledge_policy/relay/PeerTable.h
@@ -6,6 +6,7 @@
 #include "plankledge_policy/relay/LinkClock.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace plankledge
@@ -18,8 +19,13 @@
     Member m_member;
     GateStatus m_gate;             /**< as last heard */
     std::uint32_t m_sentSince = 0; /**< requests sent there since the gate's status was heard */
+    Time m_gateAt;                 /**< when that was heard */
+    Time m_callsAt;                /**< when the calls seen there were heard */
     Time m_heardAt;                /**< any frame of its */
     bool m_isHeard = false;        /**< it answered lately */
+    std::optional<Time> m_askedAt; /**< first hello since it was last heard */
+    Time m_lastAskedAt;            /**< newest hello */
+    LinkId m_inboundLink = 0;      /**< the connection that it opened to this node; 0: none known */
     LinkClock m_clock;
 
     /** @returns requests that run or wait there, by what is known */
@@ -37,9 +43,13 @@
 {
 public:
     //==============================================================================
-    /** A peer that was not heard for so long takes no requests: two hellos unanswered, and a margin for
-        pauses of a process that has used up its share of a processor. */
-    static constexpr Duration silenceLimit = Milliseconds (1600);
+    /** A peer that leaves a hello unanswered for so long takes no requests. Processes that have used up
+        their share of a processor stand still for 90 ms at a time, and several may follow each other. */
+    static constexpr Duration silenceLimit = Milliseconds (600);
+
+    /** A peer that this node does not keep contact with, and that says nothing itself, is no longer known
+        to be there after this: twice the longest time between two hellos, and a pause. */
+    static constexpr Duration forgottenAfter = Milliseconds (2500);
 
     explicit PeerTable (const Member& self);
 
@@ -62,9 +72,26 @@
     */
     bool onHeard (const NodeId& from, Time now);
 
-    void onGate (const InstanceName& instance, const GateStatus& gate);
+    /** @returns whether the gate opened just now */
+    bool onGate (const InstanceName& instance, const GateStatus& gate, Time now);
     void onSent (const InstanceName& instance);
 
+    /** The peer told the calls that were seen there. */
+    void onCalls (const InstanceName& instance, Time now);
+
+    /** A hello was sent to the peer. */
+    void onAsked (const InstanceName& instance, Time now);
+
+    /** The peer said something over a connection that it opened to this node.
+
+        @returns whether it is another one than before
+    */
+    bool onInboundLink (const InstanceName& instance, LinkId link);
+    void onLinkClosed (LinkId link);
+
+    /** This process stood still: what was not heard meanwhile says nothing about the peers. */
+    void onPause (Time now) noexcept;
+
     /** The peer can't be reached.
 
         @returns whether it was heard until now
@@ -80,6 +107,9 @@
     /** @returns nodes of the service that can be reached and whose gates are open */
     std::vector<const Peer*> takingWork (const ServiceName& service) const;
 
+    /** @returns all nodes of the service, in the order of their names */
+    const std::vector<Peer*>& ofService (const ServiceName& service) const;
+
     /** @returns all nodes but this one */
     std::vector<const Peer*> others() const;
 
@@ -88,8 +118,12 @@
 
 private:
     //==============================================================================
+    void index();
+
     const InstanceName m_self;
     std::map<InstanceName, Peer> m_peers;
+    std::map<ServiceName, std::vector<Peer*>> m_byService;
+    std::vector<Peer*> m_none;
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -11,11 +11,19 @@
 /** Held requests look for a target again, and silent peers are noticed, after this. */
 constexpr Duration windowPeriod = Milliseconds (100);
 
-/** Between two hellos to a peer. */
-constexpr Duration helloPeriod = Milliseconds (700);
+/** Peers that are due a hello are looked for after this. */
+constexpr Duration contactPeriod = Milliseconds (200);
 
-/** One status in so many tells the calls that were seen; they change slowly and take the most bytes. */
-constexpr std::uint64_t statusesPerCallReport = 8;
+/** A window that ends so much late means that this process got no processor time. */
+constexpr Duration latenessOfPause = Milliseconds (150);
+
+/** With so few services contact is kept with all of them from the start, so that the first requests need not
+    wait for it. */
+constexpr std::size_t fewServices = 16;
+
+/** Peers that are told at once of another version of the routes; they tell as many, so that all nodes know
+    in a few rounds. The store tells most of them anyway. */
+constexpr std::size_t toldOfVersion = 4;
 
 /** A stopping node looks whether it has finished after this. */
 constexpr Duration stopPeriod = Milliseconds (100);
@@ -37,13 +45,16 @@
 RelayDecisions::RelayDecisions (Turn& turn, const RelaySettings& settings, RouteTableParser parser)
     : m_turn (turn)
     , m_settings (settings)
-    , m_routes (std::move (parser), [this] { greetAll(); })
+    , m_routes (std::move (parser), [this] { onRoutesInForce(); })
     , m_peers (turn.settings().m_self)
+    , m_contacts (turn.settings().m_self)
     , m_gate (settings, { [this] (Turn& inner, const RelayAnswer& answer) {
                              m_entry.onAnswer (inner, m_peers.self(), answer);
                          },
-                          [this] (Turn&) { onGateMoved(); } })
-    , m_entry (settings, turn.settings().m_self, { m_routes, m_peers, m_calls, m_gate })
+                          [this] (Turn&) { onGateMoved(); }, [this] { return m_routes.version(); } })
+    , m_entry (
+          settings, turn.settings().m_self,
+          { m_routes, m_peers, m_calls, m_gate, [this] (const ServiceName& service) { need (service); } })
 {
 }
 
@@ -53,11 +64,13 @@
     m_turn.emit (PublishMember { m_turn.settings().m_self });
     m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
     m_turn.timers().set (now + AdmissionLevel::period, TimerKind::admissionPeriod);
-    m_turn.timers().set (now + m_turn.jittered (helloPeriod / 4), TimerKind::peerHello);
+    m_turn.timers().set (now + m_turn.jittered (contactPeriod / 2), TimerKind::peerHello);
+    m_windowAt = now;
 }
 
 void RelayDecisions::onPause()
 {
+    m_peers.onPause (m_turn.now());
     m_entry.onPause (m_turn.now());
 }
 
@@ -79,8 +92,8 @@
         m_gate.onPeriodEnd (m_turn);
         return m_turn.timers().set (m_turn.now() + AdmissionLevel::period, TimerKind::admissionPeriod);
     case TimerKind::peerHello:
-        greetAll();
-        return m_turn.timers().set (m_turn.now() + helloPeriod, TimerKind::peerHello);
+        greetDue();
+        return m_turn.timers().set (m_turn.now() + contactPeriod, TimerKind::peerHello);
     case TimerKind::relayStop:
         return onStopTime();
     default:
@@ -90,11 +103,16 @@
 
 void RelayDecisions::onWindowEnd()
 {
+    const auto now = m_turn.now();
+
+    if (now - std::exchange (m_windowAt, now) > windowPeriod + latenessOfPause)
+        m_peers.onPause (now);
+
     m_gate.onWindowEnd (m_turn);
-    m_peers.onGate (m_peers.self(), m_gate.status());
+    m_peers.onGate (m_peers.self(), m_gate.status(), now);
     m_calls.onPeerEdges (m_peers.self(), m_gate.callEdges());
 
-    for (const auto& instance : m_peers.takeSilent (m_turn.now()))
+    for (const auto& instance : m_peers.takeSilent (now))
     {
         m_turn.emit (
             LogDecision { Decision::peerLost, {}, { { "peer", instance }, { "reason", "silent" } } });
@@ -102,41 +120,64 @@
     }
 
     m_entry.retryHeld (m_turn);
-    m_turn.timers().set (m_turn.now() + windowPeriod, TimerKind::relayWindow);
+    m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
 }
 
 //==============================================================================
-void RelayDecisions::greet (const Member& member)
+void RelayDecisions::need (const ServiceName& service)
 {
-    m_turn.emit (SendToPeer {
-        member.m_id.m_instance, member.m_endpoint,
-        PeerHello { m_turn.settings().m_self, m_routes.version(), m_turn.now().time_since_epoch() } });
+    if (m_contacts.need (service, m_turn.now()))
+        greetDue();
 }
 
-void RelayDecisions::greetAll()
+void RelayDecisions::greet (const Peer& peer)
 {
-    for (const auto* peer : m_peers.others())
-        greet (peer->m_member);
+    const auto& member = peer.m_member;
+    m_peers.onAsked (member.m_id.m_instance, m_turn.now());
+    m_turn.emit (SendToPeer { member.m_id.m_instance, member.m_endpoint,
+                              PeerHello { m_turn.settings().m_self, m_routes.version(), m_gate.status(),
+                                          m_turn.now().time_since_epoch(),
+                                          PeerContacts::areCallsDue (peer, m_turn.now()) } });
+}
+
+void RelayDecisions::greetDue()
+{
+    for (const auto* peer : m_contacts.due (m_peers, m_turn.now()))
+        greet (*peer);
 }
 
-PeerStatus RelayDecisions::status()
+void RelayDecisions::onRoutesInForce()
 {
-    PeerStatus status { m_routes.version(), m_gate.status(), std::nullopt };
+    const auto& services = m_routes.table().services();
+
+    if (services.size() <= fewServices)
+        for (const auto& service : services)
+            need (service);
 
-    if (m_turn.random().below (statusesPerCallReport) == 0)
-        status.m_calls = m_gate.callEdges();
+    auto heard = m_peers.others();
+    std::erase_if (heard, [] (const Peer* peer) { return ! peer->m_isHeard; });
 
-    return status;
+    for (std::size_t told = 0; told < toldOfVersion && ! heard.empty(); ++told)
+    {
+        const auto index = m_turn.random().below (heard.size());
+        greet (*heard[index]);
+        heard.erase (heard.begin() + static_cast<std::ptrdiff_t> (index));
+    }
+}
+
+PeerStatus RelayDecisions::status() const
+{
+    return { m_routes.version(), m_gate.status(), std::nullopt };
 }
 
 /** Peers must learn at once that a gate shut, and soon that one opened. */
 void RelayDecisions::onGateMoved()
 {
-    m_peers.onGate (m_peers.self(), m_gate.status());
+    m_peers.onGate (m_peers.self(), m_gate.status(), m_turn.now());
 
     for (const auto* peer : m_peers.others())
-        if (peer->m_isHeard)
-            m_turn.emit (SendToPeer { peer->m_member.m_id.m_instance, peer->m_member.m_endpoint, status() });
+        if (peer->m_inboundLink != 0)
+            m_turn.emit (ReplyOnLink { peer->m_inboundLink, peer->m_member.m_id.m_instance, status() });
 }
 
 //==============================================================================
@@ -178,8 +219,15 @@
                                      { "service", member.m_service },
                                      { "zone", member.m_zone },
                                      { "source", "store" } } });
-        greet (member);
     }
+
+    greetDue();
+}
+
+void RelayDecisions::handle (const LinkClosed& event)
+{
+    m_peers.onLinkClosed (event.m_link);
+    m_gate.onLinkClosed (m_turn, event.m_link);
 }
 
 void RelayDecisions::onHeardFrom (const NodeId& from)
@@ -202,6 +250,13 @@
 void RelayDecisions::onMessage (LinkId, const NodeId& from, const RelayAnswer& message)
 {
     m_entry.onAnswer (m_turn, from.m_instance, message);
+    noteVersion (from.m_instance, message.m_version);
+}
+
+void RelayDecisions::noteVersion (const InstanceName& peer, ConfigurationVersion version)
+{
+    if (const auto* known = m_peers.find (peer))
+        m_routes.onPeerVersion (m_turn, peer, known->m_member.m_endpoint, version);
 }
 
 void RelayDecisions::onMessage (LinkId link, const NodeId& from, const RelayCancel& message)
@@ -212,32 +267,49 @@
 void RelayDecisions::onMessage (LinkId link, const NodeId& from, const PeerHello& message)
 {
     if (message.m_member.m_id == from && m_peers.learn (message.m_member, PeerTable::Source::itself))
-    {
         m_turn.emit (LogDecision { Decision::peerFound,
                                    {},
                                    { { "peer", from.m_instance },
                                      { "service", message.m_member.m_service },
                                      { "zone", message.m_member.m_zone },
                                      { "source", "hello" } } });
-        greet (message.m_member);
-    }
+
+    onHeardFrom (from);
 
     if (auto* peer = m_peers.find (from.m_instance))
         (void)peer->m_clock.delayOf (message.m_sentAt, m_turn.now());
 
-    m_turn.emit (ReplyOnLink { link, from.m_instance, status() });
-    m_routes.onPeerVersion (m_turn, from.m_instance, message.m_member.m_endpoint, message.m_version);
+    auto answer = status();
+
+    if (message.m_asksForCalls)
+        answer.m_calls = m_gate.callEdges();
+
+    m_turn.emit (ReplyOnLink { link, from.m_instance, std::move (answer) });
+
+    // The peer may know an earlier life of this node: it is told of this one over a connection of its own.
+    if (m_peers.onInboundLink (from.m_instance, link))
+        greet (*m_peers.find (from.m_instance));
+
+    onGate (from.m_instance, message.m_gate);
+    noteVersion (from.m_instance, message.m_version);
 }
 
 void RelayDecisions::onMessage (LinkId, const NodeId& from, const PeerStatus& message)
 {
-    m_peers.onGate (from.m_instance, message.m_gate);
-
     if (message.m_calls.has_value())
+    {
+        m_peers.onCalls (from.m_instance, m_turn.now());
         m_calls.onPeerEdges (from.m_instance, *message.m_calls);
+    }
+
+    onGate (from.m_instance, message.m_gate);
+    noteVersion (from.m_instance, message.m_version);
+}
 
-    if (const auto* peer = m_peers.find (from.m_instance))
-        m_routes.onPeerVersion (m_turn, from.m_instance, peer->m_member.m_endpoint, message.m_version);
+void RelayDecisions::onGate (const InstanceName& peer, const GateStatus& gate)
+{
+    if (m_peers.onGate (peer, gate, m_turn.now()))
+        m_entry.retryHeld (m_turn);
 }
 
 void RelayDecisions::onMessage (LinkId link, const NodeId& from, const RoutesPull& message)
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plankledge_policy/Turn.h"
+#include "plankledge_policy/relay/PeerContacts.h"
 #include "plankledge_policy/relay/RelayEntry.h"
 
 namespace plankledge
@@ -44,7 +45,7 @@
     void handle (const RequesterGone& event) { m_entry.onRequesterGone (m_turn, event.m_ticket); }
     void handle (const TargetReply& event) { m_gate.onReply (m_turn, event); }
     void handle (const TargetAnnounced& event) { m_gate.onAnnounced (m_turn, event); }
-    void handle (const LinkClosed& event) { m_gate.onLinkClosed (m_turn, event.m_link); }
+    void handle (const LinkClosed& event);
     void handle (const RoutesRead& event) { m_routes.onText (m_turn, event.m_text, "store"); }
     void handle (const PeerUnreachable& event);
     void handle (const PeerLost& event);
@@ -66,19 +67,25 @@
     //==============================================================================
     void onWindowEnd();
     void onStopTime();
-    void greet (const Member& member);
-    void greetAll();
+    void need (const ServiceName& service);
+    void greet (const Peer& peer);
+    void greetDue();
+    void onRoutesInForce();
     void onGateMoved();
+    void onGate (const InstanceName& peer, const GateStatus& gate);
+    void noteVersion (const InstanceName& peer, ConfigurationVersion version);
     void onPeerDown (const InstanceName& instance);
-    PeerStatus status();
+    PeerStatus status() const;
 
     Turn& m_turn;
     const RelaySettings m_settings;
     RouteFollower m_routes;
     PeerTable m_peers;
+    PeerContacts m_contacts;
     CallGraph m_calls;
     TargetGate m_gate;
     RelayEntry m_entry;
+    Time m_windowAt;
     std::optional<Time> m_stoppedAt;
 };
 
--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -46,7 +46,7 @@
 //==============================================================================
 RelayEntry::RelayEntry (const RelaySettings& settings, const Member& self, Parts parts)
     : m_self (self)
-    , m_parts (parts)
+    , m_parts (std::move (parts))
     , m_tokens (settings)
 {
 }
@@ -66,6 +66,7 @@
         return refuse (turn, received, Reason::noRoute);
 
     auto request = makeRequest (turn, received, *route);
+    needServicesOf (request);
 
     if (isStopping() && ! request.m_isNested && turn.now() - *m_stoppedAt > entryOpenAfterStop)
         return refuse (turn, received, Reason::draining);
@@ -109,6 +110,16 @@
     return request;
 }
 
+/** Contact is kept with the services that a request reaches, also by its calls: how they are decides whether
+   it is admitted. */
+void RelayEntry::needServicesOf (const Request& request)
+{
+    m_parts.m_need (request.m_service);
+
+    for (const auto& [service, calls] : m_parts.m_calls.demandOf (request.m_route.m_name))
+        m_parts.m_need (service);
+}
+
 bool RelayEntry::isAdmitted (Turn& turn, const Request& request, Duration timeout)
 {
     const auto refusal =
@@ -252,7 +263,7 @@
 //==============================================================================
 void RelayEntry::onAnswer (Turn& turn, const InstanceName& from, const RelayAnswer& answer)
 {
-    m_parts.m_peers.onGate (from, answer.m_gate);
+    m_parts.m_peers.onGate (from, answer.m_gate, turn.now());
     const auto found = m_byCall.find (answer.m_callId);
 
     if (found == m_byCall.end())
--- a/modules/plankledge_policy/relay/RelayEntry.h
+++ b/modules/plankledge_policy/relay/RelayEntry.h
@@ -38,6 +38,7 @@
         PeerTable& m_peers;
         CallGraph& m_calls;
         TargetGate& m_gate;
+        std::function<void (const ServiceName&)> m_need; /**< a request needs a service: contact is kept */
     };
 
     RelayEntry (const RelaySettings& settings, const Member& self, Parts parts);
@@ -80,6 +81,7 @@
     void refuse (Turn& turn, const RelayRequestReceived& received, Reason reason);
     Request makeRequest (Turn& turn, const RelayRequestReceived& received, const Route& route);
     bool isAdmitted (Turn& turn, const Request& request, Duration timeout);
+    void needServicesOf (const Request& request);
 
     std::vector<CallId> requestsAt (const InstanceName& instance) const;
     void send (Turn& turn, CallId id);
--- a/modules/plankledge_policy/relay/RouteTable.cpp
+++ b/modules/plankledge_policy/relay/RouteTable.cpp
@@ -5,16 +5,34 @@
 namespace plankledge
 {
 
+namespace
+{
+
+template <class Value> void sortUnique (std::vector<Value>& values)
+{
+    std::sort (values.begin(), values.end());
+    values.erase (std::unique (values.begin(), values.end()), values.end());
+}
+
+} // namespace
+
 RouteTable::RouteTable (ConfigurationVersion version, Hosts hosts)
     : m_version (version)
     , m_hosts (std::move (hosts))
 {
     for (const auto& [host, routes] : m_hosts)
+    {
         for (const auto& [prefix, route] : routes)
+        {
             m_priorities.push_back (route.m_priority);
 
-    std::sort (m_priorities.begin(), m_priorities.end());
-    m_priorities.erase (std::unique (m_priorities.begin(), m_priorities.end()), m_priorities.end());
+            for (const auto& part : route.m_services)
+                m_services.push_back (part.m_service);
+        }
+    }
+
+    sortUnique (m_priorities);
+    sortUnique (m_services);
 }
 
 const Route* RouteTable::find (std::string_view host, std::string_view path) const noexcept
--- a/modules/plankledge_policy/relay/RouteTable.h
+++ b/modules/plankledge_policy/relay/RouteTable.h
@@ -58,6 +58,9 @@
     */
     const Route* find (std::string_view host, std::string_view path) const noexcept;
 
+    /** @returns all services that routes lead to, sorted */
+    const std::vector<ServiceName>& services() const noexcept { return m_services; }
+
     /** @returns a priority's place among those in use, in [0, 1) */
     double placeOfPriority (std::uint32_t priority) const noexcept;
 
@@ -71,6 +74,7 @@
     ConfigurationVersion m_version = 0;
     Hosts m_hosts;
     std::vector<std::uint32_t> m_priorities; /**< those in use, sorted */
+    std::vector<ServiceName> m_services;     /**< those in use, sorted */
 };
 
 /** Turns the operators' text into routes, or says why it is not valid. Must be a pure function. */
--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -385,7 +385,7 @@
 
 void TargetGate::answer (Turn& turn, const GateCaller& caller, RelayResult result)
 {
-    RelayAnswer message { caller.m_call, std::move (result), status() };
+    RelayAnswer message { caller.m_call, std::move (result), status(), m_hooks.m_version() };
 
     if (caller.m_link == 0)
         m_hooks.m_answerLocally (turn, message);
--- a/modules/plankledge_policy/relay/TargetGate.h
+++ b/modules/plankledge_policy/relay/TargetGate.h
@@ -44,6 +44,9 @@
 
         /** The gate opened or shut. */
         std::function<void (Turn&)> m_onMoved;
+
+        /** The version of the routes in force, told with each answer. */
+        std::function<ConfigurationVersion()> m_version;
     };
 
     TargetGate (const RelaySettings& settings, Hooks hooks);
--- /dev/null
+++ b/tests/relay/PeerContacts_test.cpp
@@ -0,0 +1,203 @@
+#include "plankledge_policy/relay/PeerContacts.h"
+
+#include <doctest/doctest.h>
+#include <set>
+#include <string>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+const Time start { std::chrono::hours (1) };
+
+Member makeMember (const std::string& name, const ZoneName& zone)
+{
+    return { { name, 1 }, "plans", zone, { name, 7000 }, MemberState::serving, 0 };
+}
+
+/** A node of another service that knows nodes of "plans" in two zones. */
+struct View
+{
+    View (const std::string& name, unsigned inZone, unsigned elsewhere)
+        : m_self (makeSelf (name))
+        , m_peers (m_self)
+        , m_contacts (m_self)
+    {
+        for (unsigned number = 0; number < inZone; ++number)
+            learn ("own-" + std::to_string (number), "zone-a");
+
+        for (unsigned number = 0; number < elsewhere; ++number)
+            learn ("far-" + std::to_string (number), "zone-b");
+
+        m_contacts.need ("plans", start);
+    }
+
+    static Member makeSelf (const std::string& name)
+    {
+        auto self = makeMember (name, "zone-a");
+        self.m_service = "web";
+        return self;
+    }
+
+    void learn (const std::string& name, const ZoneName& zone)
+    {
+        m_peers.learn (makeMember (name, zone), PeerTable::Source::store);
+    }
+
+    std::set<InstanceName> partAt (Time now) const
+    {
+        std::set<InstanceName> names;
+
+        for (const auto* peer : m_contacts.ofService ("plans", m_peers, now))
+            names.insert (peer->m_member.m_id.m_instance);
+
+        return names;
+    }
+
+    Member m_self;
+    PeerTable m_peers;
+    PeerContacts m_contacts;
+};
+
+std::size_t countZone (const std::set<InstanceName>& names, const std::string& prefix)
+{
+    std::size_t count = 0;
+
+    for (const auto& name : names)
+        count += name.starts_with (prefix) ? 1 : 0;
+
+    return count;
+}
+
+struct SizeRow
+{
+    const char* m_name;
+    unsigned m_inZone;
+    unsigned m_elsewhere;
+    std::size_t m_chosenInZone;
+    std::size_t m_chosenElsewhere;
+};
+
+const SizeRow sizeRows[] = {
+    { "few: all", 2, 3, 2, 3 },
+    { "many: most of them in the own zone", 40, 80, 8, 4 },
+    { "none in the own zone", 0, 80, 0, 12 },
+    { "few in the own zone: the rest elsewhere", 3, 80, 3, 9 },
+    { "all in the own zone", 40, 0, 8, 0 },
+};
+
+} // namespace
+
+TEST_CASE ("the part of a service is bounded, and most of it is in the own zone")
+{
+    for (const auto& row : sizeRows)
+    {
+        CAPTURE (row.m_name);
+        const View view ("web-1", row.m_inZone, row.m_elsewhere);
+        const auto part = view.partAt (start);
+        CHECK (countZone (part, "own-") == row.m_chosenInZone);
+        CHECK (countZone (part, "far-") == row.m_chosenElsewhere);
+    }
+}
+
+TEST_CASE ("every node of a service is in the parts of some others, and a new one at once")
+{
+    std::map<InstanceName, unsigned> parts;
+
+    for (unsigned number = 0; number < 60; ++number)
+    {
+        View view ("web-" + std::to_string (number), 20, 20);
+        view.learn ("own-new", "zone-a");
+
+        for (const auto& name : view.partAt (start))
+            ++parts[name];
+    }
+
+    for (unsigned number = 0; number < 20; ++number)
+        CHECK (parts["own-" + std::to_string (number)] >= 10);
+
+    CHECK (parts["own-new"] >= 10);
+}
+
+TEST_CASE ("a peer that can't be reached gives up its place, and has it again when it is heard")
+{
+    View view ("web-1", 40, 0);
+    const auto before = view.partAt (start);
+    const auto gone = *before.begin();
+    const auto later = start + std::chrono::seconds (3);
+
+    for (const auto& name : before)
+    {
+        view.m_peers.onAsked (name, start);
+
+        if (name != gone)
+            view.m_peers.onHeard ({ name, 1 }, later);
+    }
+
+    const auto after = view.partAt (later);
+    CHECK (after.size() == before.size() + 1); // it is still asked now and then
+    CHECK (after.contains (gone));
+
+    view.m_peers.onHeard ({ gone, 1 }, later);
+    CHECK (view.partAt (later) == before);
+}
+
+namespace
+{
+
+/** What is known of a peer, in milliseconds ago, and whether it is due a hello. */
+struct DueRow
+{
+    const char* m_name;
+    int m_gate;
+    int m_heard;
+    int m_asked; /**< 0: everything was answered */
+    unsigned m_underWay;
+    bool m_isDue;
+};
+
+const DueRow dueRows[] = {
+    { "its gate was heard of lately", 300, 300, 0, 0, false },
+    { "its gate was not heard of for long", 600, 100, 0, 0, true },
+    { "requests are under way, and it says nothing", 300, 300, 0, 1, true },
+    { "requests are under way, and it was just heard", 300, 100, 0, 1, false },
+    { "asked just now", 900, 900, 100, 1, false },
+    { "asked long ago", 2000, 2000, 800, 1, true },
+};
+
+} // namespace
+
+TEST_CASE ("a peer is asked where nothing was heard of it lately, and not more often than it takes to start")
+{
+    const auto now = start + std::chrono::seconds (60);
+
+    for (const auto& row : dueRows)
+    {
+        CAPTURE (row.m_name);
+        Peer peer;
+        peer.m_gateAt = now - Milliseconds (row.m_gate);
+        peer.m_heardAt = now - Milliseconds (row.m_heard);
+        peer.m_callsAt = now;
+        peer.m_sentSince = row.m_underWay;
+
+        if (row.m_asked > 0)
+        {
+            peer.m_askedAt = now - Milliseconds (row.m_asked);
+            peer.m_lastAskedAt = *peer.m_askedAt;
+        }
+
+        CHECK (PeerContacts::isDue (peer, now) == row.m_isDue);
+    }
+}
+
+TEST_CASE ("a service that no request needs any more is dropped")
+{
+    View view ("web-1", 5, 0);
+    CHECK (view.m_contacts.due (view.m_peers, start).size() == 5);
+    CHECK (view.m_contacts.due (view.m_peers, start + std::chrono::seconds (61)).empty());
+    CHECK (view.m_contacts.need ("plans", start + std::chrono::seconds (62)));
+}
+
+} // namespace plankledge::test
--- /dev/null
+++ b/tests/relay/PeerTable_test.cpp
@@ -0,0 +1,107 @@
+#include "plankledge_policy/relay/PeerTable.h"
+
+#include <doctest/doctest.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+const Time start { std::chrono::hours (1) };
+
+Member makeMember (const std::string& name, const std::string& ip, const ServiceName& service = "plans")
+{
+    return { { name, 1 }, service, "zone-a", { ip, 7000 }, MemberState::serving, 0 };
+}
+
+struct Table : PeerTable
+{
+    Table()
+        : PeerTable (makeMember ("self", "10.0.0.1", "web"))
+    {
+    }
+
+    /** A node that answers and takes work. */
+    void addServing (const std::string& name, const std::string& ip)
+    {
+        learn (makeMember (name, ip), Source::store);
+        onHeard ({ name, 1 }, start);
+        onGate (name, { true, 20, 0, {}, 0, 1000 }, start);
+    }
+};
+
+} // namespace
+
+TEST_CASE ("an address that another node takes over ends the old node's entry, in all views of the table")
+{
+    Table table;
+    table.learn (makeMember ("old", "10.0.0.2"), PeerTable::Source::store);
+    table.learn (makeMember ("new", "10.0.0.3"), PeerTable::Source::store);
+    table.learn (makeMember ("old", "10.0.0.2"), PeerTable::Source::store);
+
+    // Told again of the new one, now at the old one's address, and then once more without any news.
+    table.learn (makeMember ("new", "10.0.0.2"), PeerTable::Source::store);
+    table.learn (makeMember ("new", "10.0.0.2"), PeerTable::Source::store);
+    REQUIRE (table.ofService ("plans").size() == 1);
+    CHECK (table.ofService ("plans")[0]->m_member.m_id.m_instance == "new");
+    CHECK (table.find ("old") == nullptr);
+}
+
+TEST_CASE (
+    "a node that answers keeps its address, and an old entry of it that is read again ends at the next news")
+{
+    Table table;
+    table.addServing ("new", "10.0.0.2");
+    table.learn (makeMember ("old", "10.0.0.2"), PeerTable::Source::store);
+    CHECK (table.ofService ("plans").size() == 2);
+    table.learn (makeMember ("new", "10.0.0.2"), PeerTable::Source::store);
+    REQUIRE (table.ofService ("plans").size() == 1);
+    CHECK (table.ofService ("plans")[0]->m_member.m_id.m_instance == "new");
+}
+
+TEST_CASE ("a node that changes its service is in the view of the new one only")
+{
+    Table table;
+    table.addServing ("one", "10.0.0.2");
+    CHECK (table.takingWork ("plans").size() == 1);
+    table.learn (makeMember ("one", "10.0.0.2", "other"), PeerTable::Source::itself);
+    CHECK (table.ofService ("plans").empty());
+    CHECK (table.ofService ("other").size() == 1);
+}
+
+TEST_CASE ("a forgotten node is in no view, one that answers is kept")
+{
+    Table table;
+    table.learn (makeMember ("gone", "10.0.0.2"), PeerTable::Source::store);
+    table.addServing ("here", "10.0.0.3");
+    table.forget ("gone");
+    table.forget ("here");
+    REQUIRE (table.ofService ("plans").size() == 1);
+    CHECK (table.ofService ("plans")[0]->m_member.m_id.m_instance == "here");
+}
+
+TEST_CASE ("a peer is silent when it leaves a hello unanswered, not while nobody asked it")
+{
+    Table table;
+    table.addServing ("one", "10.0.0.2");
+    CHECK (table.takeSilent (start + std::chrono::seconds (1)).empty());
+    table.onAsked ("one", start + std::chrono::seconds (1));
+    CHECK (table.takeSilent (start + Milliseconds (1500)).empty());
+    CHECK (table.takeSilent (start + Milliseconds (1700)).size() == 1);
+    CHECK (table.takingWork ("plans").empty());
+    CHECK (table.onHeard ({ "one", 1 }, start + Milliseconds (1800)));
+    CHECK (table.takingWork ("plans").size() == 1);
+}
+
+TEST_CASE ("after a pause of this process peers have their whole time to answer again")
+{
+    Table table;
+    table.addServing ("one", "10.0.0.2");
+    table.onAsked ("one", start);
+    table.onPause (start + std::chrono::seconds (5));
+    CHECK (table.takeSilent (start + Milliseconds (5500)).empty());
+    CHECK (table.takeSilent (start + Milliseconds (5700)).size() == 1);
+}
+
+} // namespace plankledge::test
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -86,6 +86,7 @@
     const std::vector<Run>& runs() const noexcept { return m_runs; }
     std::vector<Run> runsOf (const std::string& id) const;
     const Reducer& reducer (const InstanceName& instance) const { return *m_hosts.at (instance).m_reducer; }
+    std::uint64_t hellos() const noexcept { return m_hellos; } /**< sent by all nodes so far */
     bool hasExited (const InstanceName& instance) const { return m_hosts.at (instance).m_hasExited; }
     Time now() const noexcept { return m_now; }
 
@@ -148,6 +149,7 @@
     Ticket m_nextTicket = 1;
     std::map<Ticket, Answer> m_answers;
     std::vector<Run> m_runs;
+    std::uint64_t m_hellos = 0;
 };
 
 /** @returns a route to one service, under "/NAME/" */
