--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -192,20 +192,19 @@
     static void watch (beast::tcp_stream& stream, const std::shared_ptr<Exchange>& pending)
     {
         auto& socket = stream.socket();
-        socket.async_wait (tcp::socket::wait_read, [&socket, weak = std::weak_ptr (pending)] (
+        socket.async_wait (tcp::socket::wait_read, [&stream, weak = std::weak_ptr (pending)] (
                                                        const boost::system::error_code& error) {
             const auto exchange = weak.lock();
 
-            if (exchange == nullptr || exchange->m_response.has_value())
+            if (exchange == nullptr || exchange->m_response.has_value() || exchange->m_isGone)
                 return;
 
-            boost::system::error_code readError;
-            char byte = 0;
+            const auto state = error ? error : peek (stream.socket());
 
-            if (! error)
-                socket.receive (asio::buffer (&byte, 1), tcp::socket::message_peek, readError);
+            if (state == asio::error::would_block)
+                return watch (stream, exchange);
 
-            if (! error && ! readError)
+            if (! state)
                 return;
 
             if (auto onGone = std::exchange (exchange->m_onGone, nullptr))
@@ -216,6 +215,23 @@
         });
     }
 
+    /** Looks for a byte without waiting for one: readiness may be told of bytes that were read by then.
+
+        @returns no error where there is one, would_block where there is none yet, else why none will come
+    */
+    static boost::system::error_code peek (tcp::socket& socket)
+    {
+        boost::system::error_code error;
+        socket.non_blocking (true, error);
+
+        if (error)
+            return error;
+
+        char byte = 0;
+        socket.receive (asio::buffer (&byte, 1), tcp::socket::message_peek, error);
+        return error;
+    }
+
     asio::awaitable<void> answerError (beast::tcp_stream& stream, beast::error_code error)
     {
         const bool isProtocolError =
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -4,8 +4,8 @@
 #include <absl/strings/numbers.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/endian/conversion.hpp>
-#include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <stdexcept>
 
 namespace plankledge::test
 {
@@ -57,7 +57,8 @@
                            [] (HttpServerError) { return makeStatus (400); } })
     , m_endpoint { "127.0.0.1", freePort() }
 {
-    REQUIRE (m_server.listen (m_endpoint).ok());
+    if (! m_server.listen (m_endpoint).ok())
+        throw std::runtime_error ("the store's stand-in can't listen");
 }
 
 std::function<void()> StoreStandin::onRequest (const HttpRequest& request, const HttpServer::Respond& respond)
