Retries go to whole chains in the order of refusal; rejections take no capacity

A search needs four lookups in a row, a lodgement eight: half of the shared retries were unused, the others were dealt by chance, so that hardly any chain had all that it needed; and a request was sent to two targets at most, so it failed after two rejections.

Change: RetryTokens counts requests and retries over the rule's own sliding window and uses 0.8 of the ratio for requests without calls (0.5 with calls, as before). Where more is wanted than there is, it goes to the chains that come first in the order of refusal, urgency then cohort of the chain's id, and these get all they want. Calls of repeated runs are charged where they are made. A rejected request, which did not run, may go to the same targets again, but to no more targets than its route allows, eight sendings at most. Capacity counts the time that a slot is held, rejections included.

--- a/modules/plankledge_policy/relay/EntryRequest.h
+++ b/modules/plankledge_policy/relay/EntryRequest.h
@@ -21,10 +21,12 @@
     Time m_deadline;
     Time m_holdEnd;
     std::set<InstanceName> m_tried;
-    std::uint32_t m_arrivals = 0; /**< sendings that may have reached a target */
-    bool m_mayHaveRun = false;    /**< a sending ended without anyone's word that it did not run */
-    unsigned m_redirects = 0;     /**< after refusals that cost nothing */
-    InstanceName m_instance;      /**< where it is now; empty: nowhere */
+    std::uint32_t m_arrivals = 0;     /**< sendings that may have reached a target */
+    std::set<InstanceName> m_reached; /**< whose targets they may have reached */
+    bool m_isOfRepeat = false;        /**< a call of a run that was itself a retry */
+    bool m_mayHaveRun = false;        /**< a sending ended without anyone's word that it did not run */
+    unsigned m_redirects = 0;         /**< after refusals that cost nothing */
+    InstanceName m_instance;          /**< where it is now; empty: nowhere */
     CallId m_call = 0;
     bool m_isHeld = false;
     Reason m_lastReason = Reason::noReachableInstance;
--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -39,6 +39,10 @@
 /** Below this a second sending is not worth it: no target would end it in time. */
 constexpr Duration leastTimeForRetry = Milliseconds (30);
 
+/** Sendings of a request that targets reject, each paid for by the shared bound on retries: where targets
+   reject half of what comes, fewer than one in a hundred is left after eight. */
+constexpr std::uint32_t mostSendings = 8;
+
 constexpr std::uint16_t serverError = 500;
 
 } // namespace
@@ -79,6 +83,10 @@
     turn.timers().set (request.m_deadline, TimerKind::relayDeadline, id);
     m_tokens.setNodes (m_parts.m_peers.size());
     m_tokens.onRequest (request.m_service, turn.now());
+
+    if (request.m_isOfRepeat)
+        m_tokens.charge (request.m_service, turn.now());
+
     m_requests.emplace (id, std::move (request));
     send (turn, id);
 }
@@ -98,6 +106,7 @@
     {
         request.m_isNested = true;
         request.m_urgency = parent->m_urgency;
+        request.m_isOfRepeat = parent->m_isRepeat;
         m_parts.m_gate.onNestedCall (parent->m_route, route.m_name, request.m_service);
     }
 
@@ -180,6 +189,7 @@
     message.m_callerService = m_self.m_service;
     message.m_route = request.m_route.m_name;
     message.m_urgency = request.m_urgency;
+    message.m_isRepeat = request.m_isOfRepeat || request.m_arrivals > 0;
     message.m_isNested = request.m_isNested;
     message.m_timeLeft = request.m_deadline - now;
     message.m_longestQueueing = std::max (Duration::zero(), Duration (request.m_holdEnd - now));
@@ -222,6 +232,7 @@
 
         found->second.m_tried.clear();
         found->second.m_redirects = 0;
+        letReturnTo (found->second);
         send (turn, id);
     }
 }
@@ -284,6 +295,9 @@
     detach (request);
     request.m_tried.insert (from);
 
+    if (answer.m_result.m_outcome != Outcome::notRun || answer.m_result.m_reason == Reason::targetShed)
+        request.m_reached.insert (from);
+
     if (answer.m_result.m_outcome == Outcome::completed)
     {
         ++request.m_arrivals;
@@ -329,6 +343,7 @@
         auto& request = m_requests.at (id);
         detach (request);
         request.m_tried.insert (instance);
+        request.m_reached.insert (instance);
         onNotAnswered (turn, id, { Outcome::unknown, Reason::peerLost, {}, {} });
     }
 }
@@ -351,6 +366,7 @@
         ++request.m_arrivals;
         ++turn.counters().m_retries[RetryReason::connectionLost];
         request.m_mayHaveRun = true;
+        request.m_reached.insert (instance);
         withdraw (turn, request);
         send (turn, id);
     }
@@ -375,6 +391,10 @@
             result.m_outcome == Outcome::unknown ? RetryReason::connectionLost : RetryReason::notRun;
         ++turn.counters().m_retries[reason];
         turn.emit (detail::logSentAgain (request, result.m_reason));
+
+        if (result.m_reason == Reason::targetShed)
+            letReturnTo (request);
+
         return send (turn, id);
     }
 
@@ -397,14 +417,42 @@
     if (result.m_outcome == Outcome::unknown && ! request.m_route.m_isRepeatable)
         return denied (RetryDenied::notRepeatable);
 
-    if (request.m_arrivals >= request.m_route.m_mostAttempts)
+    // What a target rejected did not run: it may go to the same targets again, but to no more of them.
+    const bool didNotRun = result.m_reason == Reason::targetShed && ! request.m_mayHaveRun;
+    const auto most = didNotRun ? mostSendings : request.m_route.m_mostAttempts;
+
+    if (request.m_arrivals >= most || request.m_reached.size() > request.m_route.m_mostAttempts)
         return denied (RetryDenied::budgetSpent);
 
     if (request.m_deadline - turn.now() < leastTimeForRetry)
         return denied (RetryDenied::noTime);
 
     const auto& demand = m_parts.m_calls.demandOf (request.m_route.m_name);
-    return m_tokens.take (request.m_service, demand, turn.now()) || denied (RetryDenied::throttled);
+    return m_tokens.take (request.m_service, demand, retryPlaceOf (request), turn.now()) ||
+           denied (RetryDenied::throttled);
+}
+
+/** Once a rejected request has reached as many targets as it may, the next sending goes to one of them. */
+void RelayEntry::letReturnTo (Request& request) const
+{
+    if (request.m_reached.size() < request.m_route.m_mostAttempts)
+        return;
+
+    request.m_tried.clear();
+
+    for (const auto* peer : m_parts.m_peers.ofService (request.m_service))
+        if (! request.m_reached.contains (peer->m_member.m_id.m_instance))
+            request.m_tried.insert (peer->m_member.m_id.m_instance);
+}
+
+/** @returns the place of the request's chain in the order of refusal, the same at every node that sees its
+    id; calls that show no chain have a place of their own */
+double RelayEntry::retryPlaceOf (const Request& request) const
+{
+    constexpr std::uint64_t cohorts = 1000;
+    const auto& routes = m_parts.m_routes.table();
+    const auto cohort = static_cast<double> (hashText (rootOf (request.m_content.m_id)) % cohorts) / cohorts;
+    return routes.placeOfPriority (request.m_urgency) + cohort * routes.widthOfPriority();
 }
 
 //==============================================================================
--- a/modules/plankledge_policy/relay/RelayEntry.h
+++ b/modules/plankledge_policy/relay/RelayEntry.h
@@ -91,6 +91,8 @@
     void withdraw (Turn& turn, Request& request);
     void onNotAnswered (Turn& turn, CallId id, const RelayResult& result);
     bool maySendAgain (Turn& turn, const Request& request, const RelayResult& result);
+    void letReturnTo (Request& request) const;
+    double retryPlaceOf (const Request& request) const;
     void giveUp (Turn& turn, CallId id, Reason reason);
     void finish (Turn& turn, CallId id, RelayResult result);
     Duration comeBackAfter (Turn& turn, Duration timeLeft) const;
--- a/modules/plankledge_policy/relay/RetryTokens.cpp
+++ b/modules/plankledge_policy/relay/RetryTokens.cpp
@@ -9,9 +9,22 @@
 namespace
 {
 
-/** The part of the bound that a node uses. Second runs repeat their calls as well, so what several depths
-   of a chain spend adds up at the deepest service; and nodes that died have spent, too. */
-constexpr double margin = 0.5;
+/** The part of the bound that a node uses for requests that make no calls. The rest is for nodes that died
+   and have spent, for windows that cut a slot in two, and for calls whose chain can't be seen. */
+constexpr double margin = 0.8;
+
+/** The same for requests that make calls: their second runs repeat the calls at every service below, and
+   several depths of a chain add up there. */
+constexpr double marginWithCalls = 0.5;
+
+/** The part of the slack that is used. */
+constexpr double slackMargin = 0.5;
+
+/** What is left is spent within this part of the window: trouble is often shorter than a window. */
+constexpr double partOfWindow = 0.5;
+
+/** Wishes are counted over about this time. */
+constexpr double wishSeconds = 1.0;
 
 double inSeconds (Duration duration) noexcept
 {
@@ -23,47 +36,112 @@
 //==============================================================================
 RetryTokens::RetryTokens (const RelaySettings& settings)
     : m_settings (settings)
+    , m_slotTime (std::max (Duration (1), settings.m_retryWindow / static_cast<int> (slotCount)))
 {
 }
 
-RetryTokens::Bucket& RetryTokens::refreshed (const ServiceName& service, Time now)
+std::int64_t RetryTokens::numberOf (Time now) const noexcept
 {
-    auto& bucket = m_buckets.try_emplace (service, Bucket { 0.0, 0.0, now }).first->second;
-    const auto passed = inSeconds (now - bucket.m_updatedAt);
-    const auto window = inSeconds (m_settings.m_retryWindow);
-    const auto slack =
-        m_settings.m_retrySlack * margin / static_cast<double> (std::max<std::size_t> (1, m_nodes));
-    bucket.m_updatedAt = now;
-    bucket.m_requests *= std::exp (-passed / window);
+    return now.time_since_epoch() / m_slotTime;
+}
+
+RetryTokens::Slot& RetryTokens::slotOf (const ServiceName& service, Time now)
+{
+    const auto number = numberOf (now);
+    auto& slot = m_buckets[service].m_slots[static_cast<std::size_t> (number) % slotCount];
+
+    if (slot.m_number != number)
+        slot = { number, 0.0, 0.0 };
 
-    // Without traffic there is nothing to try again, so the slack comes in with requests, too.
-    if (bucket.m_requests > 0.5)
-        bucket.m_tokens += slack * passed / window;
+    return slot;
+}
+
+RetryTokens::Sum RetryTokens::sumOf (const Bucket& bucket, Time now) const noexcept
+{
+    const auto oldest = numberOf (now) - static_cast<std::int64_t> (slotCount) + 1;
+    Sum sum;
+
+    for (const auto& slot : bucket.m_slots)
+    {
+        if (slot.m_number < oldest)
+            continue;
+
+        sum.m_requests += slot.m_requests;
+        sum.m_spent += slot.m_spent;
+    }
 
-    const auto most = bucket.m_requests * m_settings.m_retryRatio * margin + slack;
-    bucket.m_tokens = std::min (bucket.m_tokens, most);
-    return bucket;
+    return sum;
 }
 
 void RetryTokens::onRequest (const ServiceName& service, Time now)
 {
-    auto& bucket = refreshed (service, now);
-    bucket.m_requests += 1.0;
-    bucket.m_tokens += m_settings.m_retryRatio * margin;
+    slotOf (service, now).m_requests += 1.0;
 }
 
-bool RetryTokens::take (const ServiceName& service, const std::map<ServiceName, double>& demand, Time now)
+void RetryTokens::charge (const ServiceName& service, Time now)
+{
+    slotOf (service, now).m_spent += 1.0;
+}
+
+//==============================================================================
+bool RetryTokens::take (const ServiceName& service, const std::map<ServiceName, double>& demand, double place,
+                        Time now)
 {
-    auto& bucket = refreshed (service, now);
+    auto& slot = slotOf (service, now);
+    auto& bucket = m_buckets[service];
+    const auto sum = sumOf (bucket, now);
+
+    if (sum.m_requests <= 0.0)
+        return false;
 
     // A second run repeats its calls: it counts at each service below as well.
     const auto cost = 1.0 + static_cast<double> (demand.size());
+    const auto ratio = m_settings.m_retryRatio * (demand.empty() ? margin : marginWithCalls);
+    const auto slack =
+        m_settings.m_retrySlack * slackMargin / static_cast<double> (std::max<std::size_t> (1, m_nodes));
+    const auto left = sum.m_requests * ratio + slack - sum.m_spent;
+    wish (bucket, place, cost, now);
 
-    if (bucket.m_tokens < cost)
+    if (left < cost)
         return false;
 
-    bucket.m_tokens -= cost;
+    const auto rate = left / (inSeconds (m_settings.m_retryWindow) * partOfWindow);
+
+    if (place >= levelOf (bucket, rate))
+        return false;
+
+    slot.m_spent += cost;
     return true;
 }
 
+void RetryTokens::wish (Bucket& bucket, double place, double cost, Time now) noexcept
+{
+    const auto kept = std::exp (-inSeconds (now - bucket.m_wishedAt) / wishSeconds);
+    bucket.m_wishedAt = now;
+
+    for (auto& wishes : bucket.m_wishes)
+        wishes *= kept;
+
+    const auto bin = static_cast<std::size_t> (std::clamp (place, 0.0, 1.0) * binCount);
+    bucket.m_wishes[std::min (bin, binCount - 1)] += cost / wishSeconds;
+}
+
+/** @returns up to which place the wishes together stay under the rate */
+double RetryTokens::levelOf (const Bucket& bucket, double rate) noexcept
+{
+    double wished = 0.0;
+
+    for (std::size_t bin = 0; bin < binCount; ++bin)
+    {
+        const auto wishes = bucket.m_wishes[bin];
+
+        if (wished + wishes > rate)
+            return (static_cast<double> (bin) + (rate - wished) / wishes) / binCount;
+
+        wished += wishes;
+    }
+
+    return 1.0;
+}
+
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/TargetGate.cpp
@@ -206,11 +206,11 @@
 {
     m_failures += ((isFailure ? 1.0 : 0.0) - m_failures) * weightOfNew;
 
-    if (isFailure)
-        return;
-
     const auto took = static_cast<double> ((now - call.m_dispatchedAt).count());
-    m_serviceTime += (took - m_serviceTime) * (m_serviceTime > 0.0 ? weightOfNew : 1.0);
+    m_slotTime += (took - m_slotTime) * (m_slotTime > 0.0 ? weightOfNew : 1.0);
+
+    if (! isFailure)
+        m_serviceTime += (took - m_serviceTime) * (m_serviceTime > 0.0 ? weightOfNew : 1.0);
 }
 
 void TargetGate::onAnnounced (Turn& turn, const TargetAnnounced& announced)
@@ -228,6 +228,7 @@
     if (change == OwnTarget::Change::newLife)
     {
         m_serviceTime = 0.0;
+        m_slotTime = 0.0;
         m_failures = 0.0;
     }
 
@@ -315,10 +316,11 @@
                                { "service_time_ms", fmt::format ("{:.1f}", m_serviceTime / 1000.0) } } });
 }
 
-/** @returns how many requests the slots can do in a time; 0 while the service time is not known */
+/** @returns how many requests the slots can take in a time, those that the target rejects at once included;
+    0 while the times are not known */
 double TargetGate::capacityOf (Duration time) const noexcept
 {
-    return m_serviceTime > 0.0 ? static_cast<double> (time.count()) * limit() / m_serviceTime : 0.0;
+    return m_slotTime > 0.0 ? static_cast<double> (time.count()) * limit() / m_slotTime : 0.0;
 }
 
 void TargetGate::stop (Turn& turn)
--- a/modules/plankledge_policy/relay/TargetGate.h
+++ b/modules/plankledge_policy/relay/TargetGate.h
@@ -121,7 +121,8 @@
     std::size_t m_running = 0;
     CallId m_next = 1;
     std::uint64_t m_asked = 0;  /**< requests that came in this period */
-    double m_serviceTime = 0.0; /**< microseconds, moving average */
+    double m_serviceTime = 0.0; /**< of whole answers, microseconds, moving average */
+    double m_slotTime = 0.0;    /**< that a request holds a slot, whatever comes of it; the same */
     double m_failures = 0.0;    /**< share of recent answers */
     Time m_shutUntil;           /**< after a connection was refused */
     bool m_isOpen = false;
--- a/tests/relay/RelayDecisions_test.cpp
+++ b/tests/relay/RelayDecisions_test.cpp
@@ -556,4 +556,82 @@
     CHECK (site.answers().contains (ticket));
 }
 
+//==============================================================================
+TEST_CASE (
+    "a rejected request may be sent to the same targets again, and to no more of them than its route allows")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+
+    for (const auto* name : { "one", "two", "three", "four" })
+        rig.add (name, "plans");
+
+    auto route = makeRoute ("read", "plans");
+    route.m_mostAttempts = 2;
+    rig.publish (makeTable (1, { route }));
+    rig.run (Milliseconds (100));
+
+    for (int index = 0; index < 400; ++index)
+    {
+        rig.send ("entry", "warm-" + std::to_string (index), "/read/x");
+        rig.run (Milliseconds (5));
+    }
+
+    rig.run (Milliseconds (100));
+    const auto rejected = std::make_shared<int> (0);
+
+    // The first four sendings are rejected.
+    for (const auto* name : { "one", "two", "three", "four" })
+        rig.setTarget (
+            name, [rejected] (RelayRig& inner, const InstanceName& instance, const RelayToTarget& dispatch) {
+                const auto kind = ++*rejected <= 4 ? TargetReplyKind::rejected : TargetReplyKind::answered;
+                inner.reply (instance, dispatch.m_call, kind, Milliseconds (5));
+            });
+
+    const auto ticket = rig.send ("entry", "a", "/read/x");
+    rig.run (seconds (1));
+    CAPTURE (nameOf (rig.answers().at (ticket).m_result.m_reason));
+    CHECK (rig.answers().at (ticket).m_result.m_outcome == Outcome::completed);
+    CHECK (rig.runsOf ("a").size() == 5);
+    std::set<InstanceName> targets;
+
+    for (const auto& run : rig.runsOf ("a"))
+        targets.insert (run.m_instance);
+
+    CHECK (targets.size() == 2);
+}
+
+TEST_CASE ("what a target rejects at once takes no capacity: nothing is refused at the entry for it")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("one", "plans", "zone-a", 20);
+    rig.publish (makeTable (1, { makeRoute ("read", "plans") }));
+    rig.run (Milliseconds (100));
+    const auto count = std::make_shared<int> (0);
+
+    // Half of the requests are rejected at once, the others take 50 ms: ten of twenty slots for 400 a second.
+    rig.setTarget (
+        "one", [count] (RelayRig& inner, const InstanceName& instance, const RelayToTarget& dispatch) {
+            if (++*count % 2 == 0)
+                inner.reply (instance, dispatch.m_call, TargetReplyKind::rejected, Milliseconds (1));
+            else
+                inner.reply (instance, dispatch.m_call, TargetReplyKind::answered, Milliseconds (50));
+        });
+
+    std::vector<Ticket> tickets;
+
+    for (int index = 0; index < 2000; ++index)
+    {
+        tickets.push_back (rig.send ("entry", "a" + std::to_string (index), "/read/x"));
+        rig.run (index % 2 == 0 ? Milliseconds (5) : Duration::zero());
+    }
+
+    rig.run (seconds (1));
+    const auto isRefused = [&] (Ticket ticket) {
+        return rig.answers().at (ticket).m_result.m_reason == Reason::overloadedDownstream;
+    };
+    CHECK (std::count_if (tickets.begin(), tickets.end(), isRefused) < 20);
+}
+
 } // namespace plankledge::test
