--- a/programs/plankctl.cpp
+++ b/programs/plankctl.cpp
@@ -2,12 +2,14 @@
 
 #include "plankledge_core/Hash.h"
 #include "plankledge_formats/DeclarationsJson.h"
+#include "plankledge_operator/LogExplainer.h"
 #include "plankledge_operator/Publisher.h"
 #include "plankledge_runtime/HttpClient.h"
 #include "plankledge_runtime/KeyedNode.h"
 #include "plankledge_runtime/ProgramSettings.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
 #include <gflags/gflags.h>
@@ -19,6 +21,7 @@
 DEFINE_string (nodes, "", "IP:PORT of nodes' admin pages, with commas between them");
 DEFINE_int64 (base, -1, "the version that the published one is based on; -1: the one in force");
 DEFINE_bool (wait, false, "after publishing, wait until the version is in force at all of --nodes");
+DEFINE_bool (summary, false, "explain: count the failures of all requests by cause");
 DEFINE_int32 (timeout_ms, 15000, "how long to try");
 
 namespace
@@ -271,11 +274,85 @@
     return result;
 }
 
+//==============================================================================
+/** Reads the logs of all nodes.
+
+    @returns nullopt where a file can't be read
+*/
+std::optional<LogExplainer> readLogs (const std::vector<std::string>& paths)
+{
+    LogExplainer explainer;
+
+    for (const auto& path : paths)
+    {
+        std::ifstream file (path);
+
+        if (! file)
+        {
+            fmt::print (stderr, "{}: can't be read\n", path);
+            return std::nullopt;
+        }
+
+        for (std::string line; std::getline (file, line);)
+            explainer.add (line);
+    }
+
+    return explainer;
+}
+
+int explainRequest (const std::string& request, const std::vector<std::string>& paths)
+{
+    const auto logs = readLogs (paths);
+
+    if (! logs.has_value())
+        return exitBadSettings;
+
+    const auto events = logs->eventsOf (request);
+
+    for (const auto& event : events)
+        fmt::print ("{}\n", LogExplainer::describe (event));
+
+    if (events.empty())
+    {
+        fmt::print (stderr, "no line of these logs tells of {}\n", request);
+        return exitFailed;
+    }
+
+    if (const auto cause = logs->causeOf (request); cause.has_value())
+        fmt::print ("cause: {} at {} (request {}, told by {})\n", cause->m_what, cause->m_where,
+                    cause->m_request, cause->m_event.m_instance);
+    else
+        fmt::print ("no failure is told\n");
+
+    return exitDone;
+}
+
+int explainAll (const std::vector<std::string>& paths)
+{
+    const auto logs = readLogs (paths);
+
+    if (! logs.has_value())
+        return exitBadSettings;
+
+    std::vector<std::pair<std::size_t, std::string>> rows;
+
+    for (const auto& [cause, count] : logs->failuresByCause())
+        rows.emplace_back (count, cause);
+
+    std::sort (rows.rbegin(), rows.rend());
+
+    for (const auto& [count, cause] : rows)
+        fmt::print ("{:6}  {}\n", count, cause);
+
+    return exitDone;
+}
+
 } // namespace
 
 int main (int argc, char** argv)
 {
-    gflags::SetUsageMessage ("check FILE | publish FILE | history | show");
+    gflags::SetUsageMessage (
+        "check FILE | publish FILE | history | show | explain REQUEST_ID LOG… | --summary explain LOG…");
     readFlagsFromEnvironment ({ "platform", "nodes", "timeout_ms" });
     gflags::ParseCommandLineFlags (&argc, &argv, true);
     const std::string command = argc > 1 ? argv[1] : "";
@@ -292,6 +369,13 @@
     if (command == "show" && argc == 2)
         return show();
 
-    fmt::print (stderr, "usage: plankctl [flags] check FILE | publish FILE | history | show\n");
+    if (command == "explain" && FLAGS_summary && argc >= 3)
+        return explainAll ({ argv + 2, argv + argc });
+
+    if (command == "explain" && ! FLAGS_summary && argc >= 4)
+        return explainRequest (argv[2], { argv + 3, argv + argc });
+
+    fmt::print (stderr, "usage: plankctl [flags] check FILE | publish FILE | history | show | explain "
+                        "REQUEST_ID LOG… | --summary explain LOG…\n");
     return exitBadSettings;
 }
