--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/RelayEntry.cpp
@@ -36,13 +36,6 @@
    ready, and callers have gone elsewhere. */
 constexpr Duration entryOpenAfterStop = Milliseconds (2500);
 
-/** Below this a second sending is not worth it: no target would end it in time. */
-constexpr Duration leastTimeForRetry = Milliseconds (30);
-
-/** Sendings of a request that targets reject, each paid for by the shared bound on retries: where targets
-   reject half of what comes, fewer than one in a hundred is left after eight. */
-constexpr std::uint32_t mostSendings = 8;
-
 constexpr std::uint16_t serverError = 500;
 
 } // namespace
@@ -51,7 +44,7 @@
 RelayEntry::RelayEntry (const RelaySettings& settings, const Member& self, Parts parts)
     : m_self (self)
     , m_parts (std::move (parts))
-    , m_tokens (settings)
+    , m_retries (settings, { m_parts.m_routes, m_parts.m_peers, m_parts.m_calls })
 {
 }
 
@@ -81,12 +74,7 @@
     const auto id = m_next++;
     m_byTicket[request.m_ticket] = id;
     turn.timers().set (request.m_deadline, TimerKind::relayDeadline, id);
-    m_tokens.setNodes (m_parts.m_peers.size());
-    m_tokens.onRequest (request.m_service, turn.now());
-
-    if (request.m_isOfRepeat)
-        m_tokens.charge (request.m_service, turn.now());
-
+    m_retries.onRequest (request, turn.now());
     m_requests.emplace (id, std::move (request));
     send (turn, id);
 }
@@ -232,7 +220,7 @@
 
         found->second.m_tried.clear();
         found->second.m_redirects = 0;
-        letReturnTo (found->second);
+        m_retries.limitTargets (found->second);
         send (turn, id);
     }
 }
@@ -356,7 +344,7 @@
     {
         auto& request = m_requests.at (id);
         ++request.m_arrivals;
-        const bool isSentAgain = maySendAgain (turn, request, silence);
+        const bool isSentAgain = m_retries.mayBeSentAgain (turn, request, silence);
         --request.m_arrivals;
 
         // Without a second sending it may still be answered.
@@ -384,7 +372,7 @@
         ++request.m_arrivals;
         request.m_mayHaveRun = request.m_mayHaveRun || result.m_outcome == Outcome::unknown;
 
-        if (! maySendAgain (turn, request, result))
+        if (! m_retries.mayBeSentAgain (turn, request, result))
             return giveUp (turn, id, result.m_reason);
 
         const auto reason =
@@ -393,7 +381,7 @@
         turn.emit (detail::logSentAgain (request, result.m_reason));
 
         if (result.m_reason == Reason::targetShed)
-            letReturnTo (request);
+            m_retries.limitTargets (request);
 
         return send (turn, id);
     }
@@ -407,54 +395,6 @@
     send (turn, id);
 }
 
-bool RelayEntry::maySendAgain (Turn& turn, const Request& request, const RelayResult& result)
-{
-    const auto denied = [&] (RetryDenied why) {
-        ++turn.counters().m_retriesDenied[why];
-        return false;
-    };
-
-    if (result.m_outcome == Outcome::unknown && ! request.m_route.m_isRepeatable)
-        return denied (RetryDenied::notRepeatable);
-
-    // What a target rejected did not run: it may go to the same targets again, but to no more of them.
-    const bool didNotRun = result.m_reason == Reason::targetShed && ! request.m_mayHaveRun;
-    const auto most = didNotRun ? mostSendings : request.m_route.m_mostAttempts;
-
-    if (request.m_arrivals >= most || request.m_reached.size() > request.m_route.m_mostAttempts)
-        return denied (RetryDenied::budgetSpent);
-
-    if (request.m_deadline - turn.now() < leastTimeForRetry)
-        return denied (RetryDenied::noTime);
-
-    const auto& demand = m_parts.m_calls.demandOf (request.m_route.m_name);
-    return m_tokens.take (request.m_service, demand, retryPlaceOf (request), turn.now()) ||
-           denied (RetryDenied::throttled);
-}
-
-/** Once a rejected request has reached as many targets as it may, the next sending goes to one of them. */
-void RelayEntry::letReturnTo (Request& request) const
-{
-    if (request.m_reached.size() < request.m_route.m_mostAttempts)
-        return;
-
-    request.m_tried.clear();
-
-    for (const auto* peer : m_parts.m_peers.ofService (request.m_service))
-        if (! request.m_reached.contains (peer->m_member.m_id.m_instance))
-            request.m_tried.insert (peer->m_member.m_id.m_instance);
-}
-
-/** @returns the place of the request's chain in the order of refusal, the same at every node that sees its
-    id; calls that show no chain have a place of their own */
-double RelayEntry::retryPlaceOf (const Request& request) const
-{
-    constexpr std::uint64_t cohorts = 1000;
-    const auto& routes = m_parts.m_routes.table();
-    const auto cohort = static_cast<double> (hashText (rootOf (request.m_content.m_id)) % cohorts) / cohorts;
-    return routes.placeOfPriority (request.m_urgency) + cohort * routes.widthOfPriority();
-}
-
 //==============================================================================
 void RelayEntry::onRequesterGone (Turn& turn, Ticket ticket)
 {
--- a/modules/plankledge_policy/relay/RelayEntry.h
+++ b/modules/plankledge_policy/relay/RelayEntry.h
@@ -3,7 +3,7 @@
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/EntryAdmission.h"
 #include "plankledge_policy/relay/EntryRequest.h"
-#include "plankledge_policy/relay/RetryTokens.h"
+#include "plankledge_policy/relay/RetryPolicy.h"
 #include "plankledge_policy/relay/RouteFollower.h"
 #include "plankledge_policy/relay/ServiceShares.h"
 #include "plankledge_policy/relay/TargetGate.h"
@@ -90,9 +90,6 @@
     void detach (Request& request);
     void withdraw (Turn& turn, Request& request);
     void onNotAnswered (Turn& turn, CallId id, const RelayResult& result);
-    bool maySendAgain (Turn& turn, const Request& request, const RelayResult& result);
-    void letReturnTo (Request& request) const;
-    double retryPlaceOf (const Request& request) const;
     void giveUp (Turn& turn, CallId id, Reason reason);
     void finish (Turn& turn, CallId id, RelayResult result);
     Duration comeBackAfter (Turn& turn, Duration timeLeft) const;
@@ -101,7 +98,7 @@
     const Member m_self;
     Parts m_parts;
     EntryAdmission m_admission;
-    RetryTokens m_tokens;
+    RetryPolicy m_retries;
     std::map<CallId, Request> m_requests;
     std::map<Ticket, CallId> m_byTicket;
     std::map<CallId, CallId> m_byCall; /**< a sending's id to its request's */
