--- a/modules/plankledge_policy/relay/PeerContacts.cpp
+++ b/modules/plankledge_policy/relay/PeerContacts.cpp
@@ -27,12 +27,12 @@
 /** Between two hellos to a peer that does not answer: as long as a process takes to start again. */
 constexpr Duration askAgainAfter = Milliseconds (700);
 
-/** A peer that has left hellos unanswered for so long gives up its place in the part of its service. */
-constexpr Duration keptInPart = std::chrono::seconds (2);
+/** A peer that has left hellos unanswered for so long gives up its place in the subset of its service. */
+constexpr Duration keptInSubset = std::chrono::seconds (2);
 
 bool isGone (const Peer& peer, Time now) noexcept
 {
-    return ! peer.m_isHeard && peer.m_askedAt.has_value() && now - *peer.m_askedAt > keptInPart;
+    return ! peer.m_isHeard && peer.m_askedAt.has_value() && now - *peer.m_askedAt > keptInSubset;
 }
 
 } // namespace
@@ -77,7 +77,7 @@
         return one.m_isOtherZone != other.m_isOtherZone ? other.m_isOtherZone : one.m_weight > other.m_weight;
     });
 
-    std::vector<Peer*> part;
+    std::vector<Peer*> subset;
     std::size_t inZone = 0;
     std::size_t counted = 0;
 
@@ -89,7 +89,7 @@
         if (! entry.m_isOtherZone && inZone >= mostInZone)
             continue;
 
-        part.push_back (entry.m_peer);
+        subset.push_back (entry.m_peer);
 
         if (isGone (*entry.m_peer, now))
             continue;
@@ -98,7 +98,7 @@
         inZone += entry.m_isOtherZone ? 0 : 1;
     }
 
-    return part;
+    return subset;
 }
 
 std::vector<Peer*> PeerContacts::due (const PeerTable& peers, Time now)
--- a/tests/relay/PeerContacts_test.cpp
+++ b/tests/relay/PeerContacts_test.cpp
@@ -46,7 +46,7 @@
         m_peers.learn (makeMember (name, zone), PeerTable::Source::store);
     }
 
-    std::set<InstanceName> partAt (Time now) const
+    std::set<InstanceName> subsetAt (Time now) const
     {
         std::set<InstanceName> names;
 
@@ -90,41 +90,41 @@
 
 } // namespace
 
-TEST_CASE ("the part of a service is bounded, and most of it is in the own zone")
+TEST_CASE ("the subset of a service is bounded, and most of it is in the own zone")
 {
     for (const auto& row : sizeRows)
     {
         CAPTURE (row.m_name);
         const View view ("web-1", row.m_inZone, row.m_elsewhere);
-        const auto part = view.partAt (start);
-        CHECK (countZone (part, "own-") == row.m_chosenInZone);
-        CHECK (countZone (part, "far-") == row.m_chosenElsewhere);
+        const auto subset = view.subsetAt (start);
+        CHECK (countZone (subset, "own-") == row.m_chosenInZone);
+        CHECK (countZone (subset, "far-") == row.m_chosenElsewhere);
     }
 }
 
-TEST_CASE ("every node of a service is in the parts of some others, and a new one at once")
+TEST_CASE ("every node of a service is in the subsets of some others, and a new one at once")
 {
-    std::map<InstanceName, unsigned> parts;
+    std::map<InstanceName, unsigned> subsets;
 
     for (unsigned number = 0; number < 60; ++number)
     {
         View view ("web-" + std::to_string (number), 20, 20);
         view.learn ("own-new", "zone-a");
 
-        for (const auto& name : view.partAt (start))
-            ++parts[name];
+        for (const auto& name : view.subsetAt (start))
+            ++subsets[name];
     }
 
     for (unsigned number = 0; number < 20; ++number)
-        CHECK (parts["own-" + std::to_string (number)] >= 10);
+        CHECK (subsets["own-" + std::to_string (number)] >= 10);
 
-    CHECK (parts["own-new"] >= 10);
+    CHECK (subsets["own-new"] >= 10);
 }
 
 TEST_CASE ("a peer that can't be reached gives up its place, and has it again when it is heard")
 {
     View view ("web-1", 40, 0);
-    const auto before = view.partAt (start);
+    const auto before = view.subsetAt (start);
     const auto gone = *before.begin();
     const auto later = start + std::chrono::seconds (3);
 
@@ -136,12 +136,12 @@
             view.m_peers.onHeard ({ name, 1 }, later);
     }
 
-    const auto after = view.partAt (later);
+    const auto after = view.subsetAt (later);
     CHECK (after.size() == before.size() + 1); // it is still asked now and then
     CHECK (after.contains (gone));
 
     view.m_peers.onHeard ({ gone, 1 }, later);
-    CHECK (view.partAt (later) == before);
+    CHECK (view.subsetAt (later) == before);
 }
 
 namespace
