Policy for relayed requests sorted into gate, entry, peers and routes; tests likewise

23 files stood side by side in relay/. Moves and includes only; the declaration block of the policy module, which the formatter had run together, is whole again.

--- a/modules/plankledge_policy/plankledge_policy.h
+++ b/modules/plankledge_policy/plankledge_policy.h
@@ -1,8 +1,9 @@
 /*  BEGIN MODULE
     name:          plankledge_policy
-    description:   The decisions of a node: one reducer over all events, effects as data. No input or output,
-   no clock; time and the seed of random choices come with the events and settings. dependencies:
-   plankledge_core END MODULE */
+    description:   The decisions of a node: one reducer over all events, effects as data.
+                   No input or output, no clock: time and random seeds come from outside.
+    dependencies:  plankledge_core
+    END MODULE */
 
 #pragma once
 
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "plankledge_policy/Turn.h"
-#include "plankledge_policy/relay/PeerContacts.h"
-#include "plankledge_policy/relay/RelayEntry.h"
+#include "plankledge_policy/relay/entry/RelayEntry.h"
+#include "plankledge_policy/relay/peers/PeerContacts.h"
 
 namespace plankledge
 {
--- a/modules/plankledge_policy/relay/EntryAdmission.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/EntryAdmission.h"
+#include "plankledge_policy/relay/entry/EntryAdmission.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/relay/EntryAdmission.h
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "plankledge_core/Random.h"
-#include "plankledge_policy/relay/CallGraph.h"
-#include "plankledge_policy/relay/PeerTable.h"
-#include "plankledge_policy/relay/RouteTable.h"
+#include "plankledge_policy/relay/peers/PeerTable.h"
+#include "plankledge_policy/relay/routes/CallGraph.h"
+#include "plankledge_policy/relay/routes/RouteTable.h"
 
 #include <map>
 
--- a/modules/plankledge_policy/relay/EntryLog.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryLog.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/EntryLog.h"
+#include "plankledge_policy/relay/entry/EntryLog.h"
 
 #include <fmt/format.h>
 
--- a/modules/plankledge_policy/relay/EntryLog.h
+++ b/modules/plankledge_policy/relay/entry/EntryLog.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "plankledge_policy/Effects.h"
-#include "plankledge_policy/relay/EntryAdmission.h"
-#include "plankledge_policy/relay/EntryRequest.h"
+#include "plankledge_policy/relay/entry/EntryAdmission.h"
+#include "plankledge_policy/relay/entry/EntryRequest.h"
 
 /** The log's lines about requests at their entry: each decision with the inputs that decided it. */
 namespace plankledge::detail
--- a/modules/plankledge_policy/relay/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -1,9 +1,9 @@
-#include "plankledge_policy/relay/RelayEntry.h"
+#include "plankledge_policy/relay/entry/RelayEntry.h"
 
-#include "plankledge_policy/relay/EntryLog.h"
+#include "plankledge_policy/relay/entry/EntryLog.h"
 
 #include "plankledge_policy/relay/RequestIds.h"
-#include "plankledge_policy/relay/TargetChoice.h"
+#include "plankledge_policy/relay/entry/TargetChoice.h"
 
 #include <algorithm>
 
--- a/modules/plankledge_policy/relay/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "plankledge_policy/Turn.h"
-#include "plankledge_policy/relay/EntryAdmission.h"
-#include "plankledge_policy/relay/EntryRequest.h"
-#include "plankledge_policy/relay/RetryPolicy.h"
-#include "plankledge_policy/relay/RouteFollower.h"
-#include "plankledge_policy/relay/ServiceShares.h"
-#include "plankledge_policy/relay/TargetGate.h"
+#include "plankledge_policy/relay/entry/EntryAdmission.h"
+#include "plankledge_policy/relay/entry/EntryRequest.h"
+#include "plankledge_policy/relay/entry/RetryPolicy.h"
+#include "plankledge_policy/relay/entry/ServiceShares.h"
+#include "plankledge_policy/relay/gate/TargetGate.h"
+#include "plankledge_policy/relay/routes/RouteFollower.h"
 
 #include <functional>
 #include <map>
--- a/modules/plankledge_policy/relay/RetryPolicy.cpp
+++ b/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/RetryPolicy.h"
+#include "plankledge_policy/relay/entry/RetryPolicy.h"
 
 #include "plankledge_core/Hash.h"
 #include "plankledge_policy/relay/RequestIds.h"
--- a/modules/plankledge_policy/relay/RetryPolicy.h
+++ b/modules/plankledge_policy/relay/entry/RetryPolicy.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "plankledge_policy/Turn.h"
-#include "plankledge_policy/relay/CallGraph.h"
-#include "plankledge_policy/relay/EntryRequest.h"
-#include "plankledge_policy/relay/PeerTable.h"
-#include "plankledge_policy/relay/RetryTokens.h"
-#include "plankledge_policy/relay/RouteFollower.h"
+#include "plankledge_policy/relay/entry/EntryRequest.h"
+#include "plankledge_policy/relay/entry/RetryTokens.h"
+#include "plankledge_policy/relay/peers/PeerTable.h"
+#include "plankledge_policy/relay/routes/CallGraph.h"
+#include "plankledge_policy/relay/routes/RouteFollower.h"
 
 namespace plankledge
 {
--- a/modules/plankledge_policy/relay/ServiceShares.h
+++ b/modules/plankledge_policy/relay/entry/ServiceShares.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plankledge_policy/relay/RouteTable.h"
+#include "plankledge_policy/relay/routes/RouteTable.h"
 
 #include <map>
 #include <vector>
--- a/modules/plankledge_policy/relay/TargetChoice.h
+++ b/modules/plankledge_policy/relay/entry/TargetChoice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "plankledge_core/Random.h"
-#include "plankledge_policy/relay/PeerTable.h"
+#include "plankledge_policy/relay/peers/PeerTable.h"
 
 #include <set>
 #include <vector>
--- a/modules/plankledge_policy/relay/OwnTarget.cpp
+++ b/modules/plankledge_policy/relay/gate/OwnTarget.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/OwnTarget.h"
+#include "plankledge_policy/relay/gate/OwnTarget.h"
 
 namespace plankledge
 {
--- a/modules/plankledge_policy/relay/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/TargetGate.h"
+#include "plankledge_policy/relay/gate/TargetGate.h"
 
 #include "plankledge_policy/relay/RequestIds.h"
 
--- a/modules/plankledge_policy/relay/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "plankledge_policy/Turn.h"
-#include "plankledge_policy/relay/AdmissionLevel.h"
-#include "plankledge_policy/relay/CallGraph.h"
-#include "plankledge_policy/relay/OwnTarget.h"
 #include "plankledge_policy/relay/RelaySettings.h"
+#include "plankledge_policy/relay/gate/AdmissionLevel.h"
+#include "plankledge_policy/relay/gate/OwnTarget.h"
+#include "plankledge_policy/relay/routes/CallGraph.h"
 
 #include <functional>
 #include <map>
--- a/modules/plankledge_policy/relay/PeerContacts.h
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.h
@@ -2,7 +2,7 @@
 
 #include "plankledge_core/Identity.h"
 #include "plankledge_core/Time.h"
-#include "plankledge_policy/relay/PeerTable.h"
+#include "plankledge_policy/relay/peers/PeerTable.h"
 
 #include <map>
 #include <vector>
--- a/modules/plankledge_policy/relay/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -3,7 +3,7 @@
 #include "plankledge_core/Member.h"
 #include "plankledge_core/RelayMessages.h"
 #include "plankledge_policy/Turn.h"
-#include "plankledge_policy/relay/LinkClock.h"
+#include "plankledge_policy/relay/peers/LinkClock.h"
 
 #include <map>
 #include <optional>
--- a/modules/plankledge_policy/relay/RouteFollower.cpp
+++ b/modules/plankledge_policy/relay/routes/RouteFollower.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/RouteFollower.h"
+#include "plankledge_policy/relay/routes/RouteFollower.h"
 
 #include <fmt/format.h>
 
--- a/modules/plankledge_policy/relay/RouteFollower.h
+++ b/modules/plankledge_policy/relay/routes/RouteFollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "plankledge_policy/Turn.h"
-#include "plankledge_policy/relay/RouteTable.h"
+#include "plankledge_policy/relay/routes/RouteTable.h"
 
 #include <functional>
 
--- a/modules/plankledge_policy/relay/RouteTable.cpp
+++ b/modules/plankledge_policy/relay/routes/RouteTable.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/RouteTable.h"
+#include "plankledge_policy/relay/routes/RouteTable.h"
 
 #include <algorithm>
 
--- a/tests/relay/RetryTokens_test.cpp
+++ b/tests/relay/entry/RetryTokens_test.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/RetryTokens.h"
+#include "plankledge_policy/relay/entry/RetryTokens.h"
 
 #include <array>
 #include <doctest/doctest.h>
--- a/tests/relay/ServiceShares_test.cpp
+++ b/tests/relay/entry/ServiceShares_test.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/ServiceShares.h"
+#include "plankledge_policy/relay/entry/ServiceShares.h"
 
 #include <doctest/doctest.h>
 #include <map>
--- a/tests/relay/AdmissionLevel_test.cpp
+++ b/tests/relay/gate/AdmissionLevel_test.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/AdmissionLevel.h"
+#include "plankledge_policy/relay/gate/AdmissionLevel.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/tests/relay/PeerContacts_test.cpp
+++ b/tests/relay/peers/PeerContacts_test.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/PeerContacts.h"
+#include "plankledge_policy/relay/peers/PeerContacts.h"
 
 #include <doctest/doctest.h>
 #include <set>
--- a/tests/relay/PeerTable_test.cpp
+++ b/tests/relay/peers/PeerTable_test.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/PeerTable.h"
+#include "plankledge_policy/relay/peers/PeerTable.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/relay/CallGraph_test.cpp
+++ b/tests/relay/routes/CallGraph_test.cpp
@@ -1,4 +1,4 @@
-#include "plankledge_policy/relay/CallGraph.h"
+#include "plankledge_policy/relay/routes/CallGraph.h"
 
 #include <doctest/doctest.h>
 
