Work at a gate counted in slot time by route, not in requests

Cause: one service takes requests of 480 ms and of 30 ms. Counted in requests its capacity in a period was read as 31 or as 370 depending on what it happened to run, the admission level fell to 0.3 and was back within two seconds, and the choice of target took a gate that ran long requests for a slow one. Ruled out: a mean over routes told to peers, since a gate that has seen one route only would look faster than one that saw both; times are told by route, with the answer and with a hello's answer. Change: gates learn slot and service time by route (RouteTimes); what is asked, what waits and what the slots give are times; an entry's expected wait is that of the request's route. Tests: relay_slot_time (its second and third case are meant to fail on the old code; not run there), the loop of relay_admission_level in slot time, as strict as before.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -84,7 +84,7 @@
     bool m_isOpen = false;                /**< takes new work */
     std::uint32_t m_limit = 0;            /**< requests that the target may run at a time */
     std::uint32_t m_inGate = 0;           /**< requests that run or wait */
-    Duration m_serviceTime {};            /**< of one request at the target, moving average */
+    Duration m_queuedWork {};             /**< slot time that the waiting requests will take */
     std::uint16_t m_failurePermille = 0;  /**< of the target's recent answers */
     std::uint16_t m_admittedPermille = 0; /**< of the order of refusal, from its most important end */
 
@@ -92,10 +92,21 @@
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_isOpen, m_limit, m_inGate, m_serviceTime, m_failurePermille, m_admittedPermille);
+        archive (m_isOpen, m_limit, m_inGate, m_queuedWork, m_failurePermille, m_admittedPermille);
     }
 };
 
+/** How long requests of one route take at a target, moving average. */
+struct RouteTime
+{
+    RouteName m_route;
+    Duration m_time {};
+
+    auto operator<=> (const RouteTime&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_route, m_time); }
+};
+
 /** How often requests of one route make calls on another. */
 struct CallEdge
 {
@@ -143,13 +154,14 @@
     CallId m_callId = 0;
     RelayResult m_result;
     GateStatus m_gate;
+    Duration m_routeTime {};            /**< of the request's route at this target; 0: not known */
     ConfigurationVersion m_version = 0; /**< in force at the sender */
 
     auto operator<=> (const RelayAnswer&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_callId, m_result, m_gate, m_version);
+        archive (m_callId, m_result, m_gate, m_routeTime, m_version);
     }
 };
 
@@ -187,11 +199,15 @@
 {
     ConfigurationVersion m_version = 0;
     GateStatus m_gate;
+    std::vector<RouteTime> m_times;               /**< at the own target */
     std::optional<std::vector<CallEdge>> m_calls; /**< seen at the own target; where they were asked for */
 
     auto operator<=> (const PeerStatus&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_version, m_gate, m_calls); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_version, m_gate, m_times, m_calls);
+    }
 };
 
 //==============================================================================
--- a/modules/plankledge_load/plankledge_load.h
+++ b/modules/plankledge_load/plankledge_load.h
@@ -1,8 +1,9 @@
 /*  BEGIN MODULE
     name:          plankledge_load
-    description:   Sends the callers of a scenario to running nodes, open loop, and reports what came of them
-   beside the most that the slots could have done. dependencies:  plankledge_core, plankledge_runtime END
-   MODULE */
+    description:   Sends the callers of a scenario to running nodes, open loop, and reports
+                   what came of them beside the most that the slots could have done.
+    dependencies:  plankledge_core, plankledge_runtime
+    END MODULE */
 
 #pragma once
 
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -110,6 +110,10 @@
 
     m_gate.onWindowEnd (m_turn);
     m_peers.onGate (m_peers.self(), m_gate.status(), now);
+
+    for (const auto& time : m_gate.routeTimes())
+        m_peers.onRouteTime (m_peers.self(), time);
+
     m_calls.onPeerEdges (m_peers.self(), m_gate.callEdges());
 
     for (const auto& instance : m_peers.takeSilent (now))
@@ -167,7 +171,7 @@
 
 PeerStatus RelayDecisions::status() const
 {
-    return { m_routes.version(), m_gate.status(), std::nullopt };
+    return { m_routes.version(), m_gate.status(), m_gate.routeTimes(), std::nullopt };
 }
 
 /** Peers must learn at once that a gate shut, and soon that one opened. */
@@ -302,6 +306,9 @@
         m_calls.onPeerEdges (from.m_instance, *message.m_calls);
     }
 
+    for (const auto& time : message.m_times)
+        m_peers.onRouteTime (from.m_instance, time);
+
     onGate (from.m_instance, message.m_gate);
     noteVersion (from.m_instance, message.m_version);
 }
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -149,7 +149,8 @@
 void RelayEntry::send (Turn& turn, CallId id)
 {
     auto& request = m_requests.at (id);
-    const ChoiceNeeds needs { m_self.m_zone, request.m_route.m_latencyObjective, request.m_tried };
+    const ChoiceNeeds needs { m_self.m_zone, request.m_route.m_name, request.m_route.m_latencyObjective,
+                              request.m_tried };
     const auto* peer = chooseTarget (m_parts.m_peers.takingWork (request.m_service), needs, turn.random());
 
     if (peer == nullptr)
@@ -168,7 +169,7 @@
     request.m_isHeld = false;
     m_held.erase (id);
     m_byCall[request.m_call] = id;
-    m_parts.m_peers.onSent (instance);
+    m_parts.m_peers.onSent (instance, request.m_route.m_name);
 
     RelayRequest message;
     message.m_callId = request.m_call;
@@ -283,6 +284,9 @@
     detach (request);
     request.m_tried.insert (from);
 
+    if (answer.m_routeTime > Duration::zero())
+        m_parts.m_peers.onRouteTime (from, { request.m_route.m_name, answer.m_routeTime });
+
     if (answer.m_result.m_outcome != Outcome::notRun || answer.m_result.m_reason == Reason::targetShed)
         request.m_reached.insert (from);
 
--- a/modules/plankledge_policy/relay/entry/TargetChoice.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetChoice.cpp
@@ -52,9 +52,9 @@
 
 Duration timeOf (const Peer& peer, const ChoiceNeeds& needs) noexcept
 {
-    const auto work = peer.m_gate.m_serviceTime;
+    const auto work = peer.timeOf (needs.m_route);
     const auto counted = std::max (work, needs.m_latencyObjective / fastEnoughDivisor);
-    return counted + work / speedPreferenceDivisor + expectedWait (peer) * waitWeight;
+    return counted + work / speedPreferenceDivisor + peer.expectedWait (needs.m_route) * waitWeight;
 }
 
 /** @returns any target of the own zone that has free slots and seldom fails, or nullptr */
@@ -74,18 +74,6 @@
 } // namespace
 
 //==============================================================================
-Duration expectedWait (const Peer& peer) noexcept
-{
-    const auto& gate = peer.m_gate;
-    const auto limit = std::max<std::uint32_t> (1, gate.m_limit);
-    const auto load = peer.load() + 1;
-
-    if (load <= limit)
-        return {};
-
-    return scaled (gate.m_serviceTime, static_cast<double> (load - limit) / static_cast<double> (limit));
-}
-
 const Peer* chooseTarget (const std::vector<const Peer*>& candidates, const ChoiceNeeds& needs,
                           Random& random)
 {
--- a/modules/plankledge_policy/relay/entry/TargetChoice.h
+++ b/modules/plankledge_policy/relay/entry/TargetChoice.h
@@ -14,13 +14,11 @@
 struct ChoiceNeeds
 {
     ZoneName m_zone; /**< where the request began */
+    RouteName m_route;
     Duration m_latencyObjective {};
     std::set<InstanceName> m_tried; /**< not again */
 };
 
-/** @returns how long a new request would wait there for a slot */
-Duration expectedWait (const Peer& peer) noexcept;
-
 /**
     Chooses the target where a request is expected to end soonest.
 
--- a/modules/plankledge_policy/relay/gate/AdmissionLevel.cpp
+++ b/modules/plankledge_policy/relay/gate/AdmissionLevel.cpp
@@ -34,13 +34,14 @@
 //==============================================================================
 void AdmissionLevel::onPeriodEnd (const Load& load) noexcept
 {
-    if (load.m_capacity <= 0.0)
+    if (load.m_capacity <= Duration::zero())
         return;
 
-    const auto excess = static_cast<double> (load.m_waiting) - load.m_capacity * usualWaiting;
+    const auto capacity = static_cast<double> (load.m_capacity.count());
+    const auto excess = static_cast<double> (load.m_waiting.count()) - capacity * usualWaiting;
     const auto backlog = std::max (0.0, excess) / periodsToDrain;
-    const auto wanted = std::max (load.m_capacity * wantedLoad - backlog, load.m_capacity * lowestLevel);
-    const auto asked = std::max (1.0, static_cast<double> (load.m_asked));
+    const auto wanted = std::max (capacity * wantedLoad - backlog, capacity * lowestLevel);
+    const auto asked = std::max (1.0, static_cast<double> (load.m_asked.count()));
     const auto step = std::clamp (std::pow (wanted / asked, damping), largestStepDown, largestStepUp);
     m_level = std::clamp (m_level * step, lowestLevel, 1.0);
 }
--- a/modules/plankledge_policy/relay/gate/AdmissionLevel.h
+++ b/modules/plankledge_policy/relay/gate/AdmissionLevel.h
@@ -23,12 +23,13 @@
     /** Between two looks at the load. */
     static constexpr Duration period = Milliseconds (300);
 
-    /** What one period was like. */
+    /** What one period was like; all in slot time, since requests of different routes take a slot for times
+        that differ by a factor of ten and more. */
     struct Load
     {
-        std::uint64_t m_asked = 0; /**< requests that came, refused ones included */
-        std::size_t m_waiting = 0; /**< requests that wait now */
-        double m_capacity = 0.0;   /**< requests that the slots can do in a period; 0: not known */
+        Duration m_asked {};    /**< by the requests that came, refused ones included */
+        Duration m_waiting {};  /**< by the requests that wait now */
+        Duration m_capacity {}; /**< of all slots in a period; 0: not known */
     };
 
     void onPeriodEnd (const Load& load) noexcept;
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -16,7 +16,7 @@
    files name 0.95 of the slots as the load from which their smallest services take 1.3 times as long. */
 constexpr std::uint32_t usedSlotsPercent = 95;
 
-/** Weight of a new observation in the moving averages of service time and failures. */
+/** Weight of a new observation in the moving average of failures. */
 constexpr double weightOfNew = 0.05;
 
 /** Failures are forgotten by this in each window, so that a target which gets no requests any more is tried
@@ -42,11 +42,6 @@
     return { Outcome::notRun, reason, {}, {} };
 }
 
-Duration toDuration (double microseconds) noexcept
-{
-    return Duration (static_cast<Duration::rep> (microseconds));
-}
-
 } // namespace
 
 //==============================================================================
@@ -60,9 +55,10 @@
 void TargetGate::receive (Turn& turn, const GateCaller& caller, RelayRequest request)
 {
     const auto id = m_next++;
-    Call call { caller, std::move (request), turn.now(), {}, {}, false };
+    Call call { caller, std::move (request), turn.now(), {}, {}, {}, false };
     call.m_deadline = turn.now() + call.m_request.m_timeLeft;
-    ++m_asked;
+    call.m_slotTime = m_slotTimes.of (call.m_request.m_route);
+    m_asked += call.m_slotTime;
 
     if (const auto reason = refusalOf (turn, id, call); reason != Reason::none)
     {
@@ -76,13 +72,14 @@
               { "expected_wait_ms", fmt::format ("{}", toMilliseconds (expectedWait (id, call))) },
               { "time_left_ms", fmt::format ("{}", toMilliseconds (call.m_request.m_timeLeft)) } } });
         ++turn.counters().m_refusals[reason];
-        return answer (turn, caller, refusal (reason));
+        return answer (turn, caller, call.m_request.m_route, refusal (reason));
     }
 
     turn.timers().set (call.m_deadline + deadlineMargin, TimerKind::gateDeadline, id);
     turn.timers().set (turn.now() + call.m_request.m_longestQueueing, TimerKind::gateHold, id);
     m_byCaller[caller] = id;
     m_queue[keyOf (id, call)] = id;
+    m_queuedWork += call.m_slotTime;
     m_calls.emplace (id, std::move (call));
     dispatchNext (turn);
 }
@@ -102,8 +99,12 @@
     if (m_running < limit())
         return {};
 
-    const auto ahead = std::distance (m_queue.begin(), m_queue.lower_bound (keyOf (id, call)));
-    return toDuration (m_serviceTime * static_cast<double> (ahead + 1) / limit());
+    auto ahead = call.m_slotTime;
+
+    for (auto waiting = m_queue.begin(); waiting != m_queue.lower_bound (keyOf (id, call)); ++waiting)
+        ahead += m_calls.at (waiting->second).m_slotTime;
+
+    return ahead / limit();
 }
 
 Reason TargetGate::refusalOf (Turn& turn, CallId id, const Call& call) const noexcept
@@ -132,6 +133,7 @@
     {
         const auto id = m_queue.begin()->second;
         m_queue.erase (m_queue.begin());
+        m_queuedWork -= m_calls.at (id).m_slotTime;
         dispatch (turn, id);
     }
 }
@@ -198,19 +200,17 @@
               { "ran_ms", fmt::format ("{}", toMilliseconds (turn.now() - call.m_dispatchedAt)) } } });
 
     updateOpen (turn);
-    answer (turn, call.m_caller, std::move (result));
+    answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
     dispatchNext (turn);
 }
 
-void TargetGate::learn (const Call& call, Time now, bool isFailure) noexcept
+void TargetGate::learn (const Call& call, Time now, bool isFailure)
 {
     m_failures += ((isFailure ? 1.0 : 0.0) - m_failures) * weightOfNew;
-
-    const auto took = static_cast<double> ((now - call.m_dispatchedAt).count());
-    m_slotTime += (took - m_slotTime) * (m_slotTime > 0.0 ? weightOfNew : 1.0);
+    m_slotTimes.learn (call.m_request.m_route, now - call.m_dispatchedAt);
 
     if (! isFailure)
-        m_serviceTime += (took - m_serviceTime) * (m_serviceTime > 0.0 ? weightOfNew : 1.0);
+        m_serviceTimes.learn (call.m_request.m_route, now - call.m_dispatchedAt);
 }
 
 void TargetGate::onAnnounced (Turn& turn, const TargetAnnounced& announced)
@@ -227,8 +227,8 @@
 
     if (change == OwnTarget::Change::newLife)
     {
-        m_serviceTime = 0.0;
-        m_slotTime = 0.0;
+        m_serviceTimes.clear();
+        m_slotTimes.clear();
         m_failures = 0.0;
     }
 
@@ -300,9 +300,9 @@
 void TargetGate::onPeriodEnd (Turn& turn)
 {
     const auto before = m_level.permille();
-    const auto asked = std::exchange (m_asked, 0);
-    const auto capacity = capacityOf (AdmissionLevel::period);
-    m_level.onPeriodEnd ({ asked, m_queue.size(), capacity });
+    const auto asked = std::exchange (m_asked, Duration::zero());
+    const auto capacity = m_slotTimes.isEmpty() ? Duration::zero() : AdmissionLevel::period * limit();
+    m_level.onPeriodEnd ({ asked, m_queuedWork, capacity });
 
     if (before / logStep == m_level.permille() / logStep)
         return;
@@ -310,17 +310,10 @@
     turn.emit (LogDecision { Decision::admissionMoved,
                              {},
                              { { "admitted_permille", fmt::format ("{}", m_level.permille()) },
-                               { "asked", fmt::format ("{}", asked) },
-                               { "capacity", fmt::format ("{:.0f}", capacity) },
-                               { "queued", fmt::format ("{}", m_queue.size()) },
-                               { "service_time_ms", fmt::format ("{:.1f}", m_serviceTime / 1000.0) } } });
-}
-
-/** @returns how many requests the slots can take in a time, those that the target rejects at once included;
-    0 while the times are not known */
-double TargetGate::capacityOf (Duration time) const noexcept
-{
-    return m_slotTime > 0.0 ? static_cast<double> (time.count()) * limit() / m_slotTime : 0.0;
+                               { "asked_slot_ms", fmt::format ("{}", toMilliseconds (asked)) },
+                               { "capacity_slot_ms", fmt::format ("{}", toMilliseconds (capacity)) },
+                               { "queued_slot_ms", fmt::format ("{}", toMilliseconds (m_queuedWork)) },
+                               { "queued", fmt::format ("{}", m_queue.size()) } } });
 }
 
 void TargetGate::stop (Turn& turn)
@@ -359,7 +352,10 @@
     auto node = m_calls.extract (id);
     auto& call = node.mapped();
     m_byCaller.erase (call.m_caller);
-    m_queue.erase (keyOf (id, call));
+
+    if (m_queue.erase (keyOf (id, call)) > 0)
+        m_queuedWork -= call.m_slotTime;
+
     turn.timers().cancel (call.m_deadline + deadlineMargin, TimerKind::gateDeadline, id);
     turn.timers().cancel (call.m_receivedAt + call.m_request.m_longestQueueing, TimerKind::gateHold, id);
 
@@ -382,12 +378,13 @@
           { "dispatched", call.m_isDispatched ? "yes" : "no" },
           { "in_gate_ms", fmt::format ("{}", toMilliseconds (turn.now() - call.m_receivedAt)) } } });
     ++turn.counters().m_refusals[result.m_reason];
-    answer (turn, call.m_caller, std::move (result));
+    answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
 }
 
-void TargetGate::answer (Turn& turn, const GateCaller& caller, RelayResult result)
+void TargetGate::answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result)
 {
-    RelayAnswer message { caller.m_call, std::move (result), status(), m_hooks.m_version() };
+    const auto time = m_serviceTimes.seen (route).value_or (Duration::zero());
+    RelayAnswer message { caller.m_call, std::move (result), status(), time, m_hooks.m_version() };
 
     if (caller.m_link == 0)
         m_hooks.m_answerLocally (turn, message);
@@ -412,7 +409,7 @@
     return { m_isOpen,
              limit(),
              static_cast<std::uint32_t> (m_calls.size()),
-             toDuration (m_serviceTime),
+             m_queuedWork,
              static_cast<std::uint16_t> (m_failures * 1000.0),
              m_level.permille() };
 }
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -4,6 +4,7 @@
 #include "plankledge_policy/relay/RelaySettings.h"
 #include "plankledge_policy/relay/gate/AdmissionLevel.h"
 #include "plankledge_policy/relay/gate/OwnTarget.h"
+#include "plankledge_policy/relay/gate/RouteTimes.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
 
 #include <functional>
@@ -75,6 +76,7 @@
     void onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service);
 
     GateStatus status() const noexcept;
+    std::vector<RouteTime> routeTimes() const { return m_serviceTimes.all(); }
     std::vector<CallEdge> callEdges() const { return m_graph.ownEdges(); }
     const OwnTarget& target() const noexcept { return m_target; }
     bool isIdle() const noexcept { return m_calls.empty(); }
@@ -93,21 +95,21 @@
         Time m_receivedAt;
         Time m_deadline;
         Time m_dispatchedAt;
+        Duration m_slotTime {}; /**< that it is expected to hold a slot */
         bool m_isDispatched = false;
     };
 
     static QueueKey keyOf (CallId id, const Call& call) noexcept;
     std::uint32_t limit() const noexcept;
-    double capacityOf (Duration time) const noexcept;
     Duration expectedWait (CallId id, const Call& call) const noexcept;
     Reason refusalOf (Turn& turn, CallId id, const Call& call) const noexcept;
     void dispatchNext (Turn& turn);
     void dispatch (Turn& turn, CallId id);
     void refuseQueue (Turn& turn, Reason reason);
     void finish (Turn& turn, CallId id, RelayResult result);
-    void answer (Turn& turn, const GateCaller& caller, RelayResult result);
+    void answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result);
     Call take (Turn& turn, CallId id);
-    void learn (const Call& call, Time now, bool isFailure) noexcept;
+    void learn (const Call& call, Time now, bool isFailure);
     void updateOpen (Turn& turn);
 
     Hooks m_hooks;
@@ -120,11 +122,12 @@
     std::map<QueueKey, CallId> m_queue;
     std::size_t m_running = 0;
     CallId m_next = 1;
-    std::uint64_t m_asked = 0;  /**< requests that came in this period */
-    double m_serviceTime = 0.0; /**< of whole answers, microseconds, moving average */
-    double m_slotTime = 0.0;    /**< that a request holds a slot, whatever comes of it; the same */
-    double m_failures = 0.0;    /**< share of recent answers */
-    Time m_shutUntil;           /**< after a connection was refused */
+    Duration m_asked {};       /**< slot time of the requests that came in this period */
+    Duration m_queuedWork {};  /**< slot time of the requests that wait */
+    RouteTimes m_serviceTimes; /**< of whole answers */
+    RouteTimes m_slotTimes;    /**< that requests hold a slot, whatever comes of them */
+    double m_failures = 0.0;   /**< share of recent answers */
+    Time m_shutUntil;          /**< after a connection was refused */
     bool m_isOpen = false;
     bool m_isStopping = false;
 };
--- a/modules/plankledge_policy/relay/peers/PeerTable.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerTable.cpp
@@ -5,6 +5,23 @@
 namespace plankledge
 {
 
+Duration Peer::timeOf (const RouteName& route) const noexcept
+{
+    const auto found = m_times.find (route);
+    return found == m_times.end() ? Duration::zero() : found->second;
+}
+
+Duration Peer::expectedWait (const RouteName& route) const noexcept
+{
+    const auto limit = std::max<std::uint32_t> (1, m_gate.m_limit);
+
+    if (load() < limit)
+        return {};
+
+    return (m_gate.m_queuedWork + m_workSince + timeOf (route)) / limit;
+}
+
+//==============================================================================
 PeerTable::PeerTable (const Member& self)
     : m_self (self.m_id.m_instance)
 {
@@ -88,13 +105,28 @@
     const bool wasOpen = std::exchange (peer->m_gate, gate).m_isOpen;
     peer->m_gateAt = now;
     peer->m_sentSince = 0;
+    peer->m_workSince = Duration::zero();
     return gate.m_isOpen && ! wasOpen;
 }
 
-void PeerTable::onSent (const InstanceName& instance)
+void PeerTable::onSent (const InstanceName& instance, const RouteName& route)
+{
+    auto* peer = find (instance);
+
+    if (peer == nullptr)
+        return;
+
+    // Only what finds no free slot adds to the wait of the next.
+    if (peer->load() >= peer->m_gate.m_limit)
+        peer->m_workSince += peer->timeOf (route);
+
+    ++peer->m_sentSince;
+}
+
+void PeerTable::onRouteTime (const InstanceName& instance, const RouteTime& time)
 {
     if (auto* peer = find (instance))
-        ++peer->m_sentSince;
+        peer->m_times[time.m_route] = time.m_time;
 }
 
 bool PeerTable::onUnreachable (const InstanceName& instance)
--- a/modules/plankledge_policy/relay/peers/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -17,19 +17,27 @@
 struct Peer
 {
     Member m_member;
-    GateStatus m_gate;             /**< as last heard */
-    std::uint32_t m_sentSince = 0; /**< requests sent there since the gate's status was heard */
-    Time m_gateAt;                 /**< when that was heard */
-    Time m_callsAt;                /**< when the calls seen there were heard */
-    Time m_heardAt;                /**< any frame of its */
-    bool m_isHeard = false;        /**< it answered lately */
-    std::optional<Time> m_askedAt; /**< first hello since it was last heard */
-    Time m_lastAskedAt;            /**< newest hello */
-    LinkId m_inboundLink = 0;      /**< the connection that it opened to this node; 0: none known */
+    GateStatus m_gate;                     /**< as last heard */
+    std::uint32_t m_sentSince = 0;         /**< requests sent there since the gate's status was heard */
+    Duration m_workSince {};               /**< slot time that these are expected to take */
+    std::map<RouteName, Duration> m_times; /**< of requests of each route at its target, as last heard */
+    Time m_gateAt;                         /**< when that was heard */
+    Time m_callsAt;                        /**< when the calls seen there were heard */
+    Time m_heardAt;                        /**< any frame of its */
+    bool m_isHeard = false;                /**< it answered lately */
+    std::optional<Time> m_askedAt;         /**< first hello since it was last heard */
+    Time m_lastAskedAt;                    /**< newest hello */
+    LinkId m_inboundLink = 0;              /**< the connection that it opened to this node; 0: none known */
     LinkClock m_clock;
 
     /** @returns requests that run or wait there, by what is known */
     std::uint32_t load() const noexcept { return m_gate.m_inGate + m_sentSince; }
+
+    /** @returns how long a request of the route takes at its target; 0 where that is not known */
+    Duration timeOf (const RouteName& route) const noexcept;
+
+    /** @returns how long a request that is sent now would wait there for a slot */
+    Duration expectedWait (const RouteName& route) const noexcept;
 };
 
 //==============================================================================
@@ -74,7 +82,10 @@
 
     /** @returns whether the gate opened just now */
     bool onGate (const InstanceName& instance, const GateStatus& gate, Time now);
-    void onSent (const InstanceName& instance);
+    void onSent (const InstanceName& instance, const RouteName& route);
+
+    /** A peer told how long requests of a route take at its target. */
+    void onRouteTime (const InstanceName& instance, const RouteTime& time);
 
     /** The peer told the calls that were seen there. */
     void onCalls (const InstanceName& instance, Time now);
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -159,7 +159,12 @@
     appendGauge (text, "calls_queued", static_cast<double> (relay.gate().queued()));
     appendGauge (text, "concurrency_limit", gate.m_limit);
     appendGauge (text, "admitted_permille", gate.m_admittedPermille);
-    appendGauge (text, "target_milliseconds", static_cast<double> (gate.m_serviceTime.count()) / 1000.0);
+    appendGauge (text, "queued_slot_milliseconds", static_cast<double> (gate.m_queuedWork.count()) / 1000.0);
+
+    for (const auto& time : relay.gate().routeTimes())
+        appendGauge (text, fmt::format ("target_milliseconds{{route=\"{}\"}}", time.m_route),
+                     static_cast<double> (time.m_time.count()) / 1000.0);
+
     appendGauge (text, "target_failure_permille", gate.m_failurePermille);
     return text;
 }
--- a/modules/plankledge_wire/plankledge_wire.h
+++ b/modules/plankledge_wire/plankledge_wire.h
@@ -1,7 +1,9 @@
 /*  BEGIN MODULE
     name:          plankledge_wire
-    description:   Bytes between nodes: bounded cereal codec for frames and datagrams, and the caller's
-   headers. dependencies:  plankledge_core END MODULE */
+    description:   Bytes between nodes: bounded cereal codec for frames and datagrams, and the
+                   caller's headers.
+    dependencies:  plankledge_core
+    END MODULE */
 
 #pragma once
 
--- a/tests/relay/entry/TargetChoice_test.cpp
+++ b/tests/relay/entry/TargetChoice_test.cpp
@@ -46,6 +46,13 @@
       "far" },
 };
 
+/** @returns the slot time of the requests that find none of the 20 slots free */
+Duration waitingWork (const Candidate& candidate)
+{
+    const auto waiting = candidate.m_load > 20 ? candidate.m_load - 20 : 0;
+    return Milliseconds (candidate.m_serviceMs) * waiting;
+}
+
 std::vector<Peer> makePeers (const std::vector<Candidate>& candidates)
 {
     std::vector<Peer> peers;
@@ -56,9 +63,9 @@
         peer.m_member.m_id.m_instance = candidate.m_name;
         peer.m_member.m_zone = candidate.m_zone;
         peer.m_gate = {
-            true, 20, candidate.m_load, Milliseconds (candidate.m_serviceMs), candidate.m_failurePermille,
-            1000
+            true, 20, candidate.m_load, waitingWork (candidate), candidate.m_failurePermille, 1000
         };
+        peer.m_times["route"] = Milliseconds (candidate.m_serviceMs);
         peers.push_back (peer);
     }
 
@@ -91,7 +98,8 @@
 
         for (int index = 0; index < choices; ++index)
         {
-            const auto* peer = chooseTarget (pointersTo (peers), { "a", Milliseconds (1000), {} }, random);
+            const auto* peer =
+                chooseTarget (pointersTo (peers), { "a", "route", Milliseconds (1000), {} }, random);
             REQUIRE (peer != nullptr);
             chosen += peer->m_member.m_id.m_instance == row.m_chosen ? 1 : 0;
         }
@@ -104,16 +112,17 @@
 {
     const auto peers = makePeers ({ { "fast", "a", 0, 20, 0 }, { "slow", "a", 0, 400, 0 } });
     Random random (7);
-    const auto* other = chooseTarget (pointersTo (peers), { "a", Milliseconds (1000), { "fast" } }, random);
+    const auto* other =
+        chooseTarget (pointersTo (peers), { "a", "route", Milliseconds (1000), { "fast" } }, random);
     REQUIRE (other != nullptr);
     CHECK (other->m_member.m_id.m_instance == "slow");
-    CHECK (chooseTarget (pointersTo (peers), { "a", Milliseconds (1000), { "fast", "slow" } }, random) ==
-           nullptr);
+    CHECK (chooseTarget (pointersTo (peers), { "a", "route", Milliseconds (1000), { "fast", "slow" } },
+                         random) == nullptr);
 
     int slow = 0;
 
     for (int index = 0; index < 2000; ++index)
-        slow += chooseTarget (pointersTo (peers), { "a", Milliseconds (1000), {} }, random)
+        slow += chooseTarget (pointersTo (peers), { "a", "route", Milliseconds (1000), {} }, random)
                             ->m_member.m_id.m_instance == "slow"
                     ? 1
                     : 0;
--- a/tests/relay/gate/AdmissionLevel_test.cpp
+++ b/tests/relay/gate/AdmissionLevel_test.cpp
@@ -10,11 +10,17 @@
 namespace
 {
 
+/** Slot time that a gate can give in a period, milliseconds. */
 constexpr double capacity = 300.0;
 
 /** What would wait longer is refused by the gate. */
 constexpr double longestQueue = capacity / 2.0;
 
+Duration milliseconds (double count)
+{
+    return std::chrono::duration_cast<Duration> (std::chrono::duration<double, std::milli> (count));
+}
+
 /** A gate under a load that follows the level some periods late, as the services above it delay it. */
 struct Loop
 {
@@ -25,7 +31,7 @@
 
     /** Lets a period pass.
 
-        @param offered   requests that would come if all were admitted, in a period
+        @param offered   slot time that would be asked for in a period if all were admitted
     */
     void pass (double offered)
     {
@@ -33,8 +39,7 @@
         m_before.erase (m_before.begin());
         m_before.push_back (m_level.permille() / 1000.0);
         m_waiting = std::clamp (m_waiting + asked - capacity, 0.0, longestQueue);
-        m_level.onPeriodEnd (
-            { static_cast<std::uint64_t> (asked), static_cast<std::size_t> (m_waiting), capacity });
+        m_level.onPeriodEnd ({ milliseconds (asked), milliseconds (m_waiting), milliseconds (capacity) });
     }
 
     double level() const { return m_level.permille() / 1000.0; }
@@ -123,11 +128,11 @@
 TEST_CASE ("something is always admitted, and an unknown capacity moves nothing")
 {
     AdmissionLevel level;
-    level.onPeriodEnd ({ 1000, 1000, 0.0 });
+    level.onPeriodEnd ({ Milliseconds (1000), Milliseconds (1000), Duration::zero() });
     CHECK (level.permille() == 1000);
 
     for (int period = 0; period < 100; ++period)
-        level.onPeriodEnd ({ 100000, 100000, 1.0 });
+        level.onPeriodEnd ({ Milliseconds (100000), Milliseconds (100000), Milliseconds (1) });
 
     CHECK (level.permille() >= 50);
 }
--- /dev/null
+++ b/tests/relay/gate/SlotTime_test.cpp
@@ -0,0 +1,108 @@
+#include "support/RelayRig.h"
+
+#include "plankledge_policy/relay/gate/RouteTimes.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+constexpr Duration longTime = Milliseconds (480);
+constexpr Duration shortTime = Milliseconds (30);
+
+/** A target that takes 480 ms for requests of "log" and 30 ms for all others. */
+void answerByRoute (RelayRig& rig, const InstanceName& instance, const RelayToTarget& dispatch)
+{
+    const bool isLong = dispatch.m_content.m_path.starts_with ("/log/");
+    rig.reply (instance, dispatch.m_call, TargetReplyKind::answered, isLong ? longTime : shortTime);
+}
+
+} // namespace
+
+//==============================================================================
+TEST_CASE ("times are learned by route; a route that was not seen counts as the mean of the others")
+{
+    RouteTimes times;
+    CHECK (times.isEmpty());
+    CHECK (times.of ("log") == Duration::zero());
+
+    for (int index = 0; index < 200; ++index)
+    {
+        times.learn ("fetch", shortTime);
+
+        if (index % 20 == 0)
+            times.learn ("log", longTime);
+    }
+
+    CHECK (times.of ("fetch") == shortTime);
+    CHECK (times.of ("log") == longTime);
+    CHECK (times.of ("other") == (shortTime + longTime) / 2);
+    CHECK_FALSE (times.seen ("other").has_value());
+    CHECK (times.all().size() == 2);
+    times.clear();
+    CHECK (times.isEmpty());
+}
+
+TEST_CASE ("a mix that changes is no overload while the slots have room")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("one", "archive", "zone-a", 20);
+    rig.publish (makeTable (1, { makeRoute ("log", "archive"), makeRoute ("fetch", "archive") }));
+    rig.run (Milliseconds (100));
+    rig.setTarget ("one", answerByRoute);
+    std::vector<Ticket> tickets;
+
+    // Long ones alone take 14 of 19 slots; then short ones alone take 12 of them, 400 a second.
+    for (int index = 0; index < 120; ++index)
+    {
+        tickets.push_back (rig.send ("entry", "a" + std::to_string (index), "/log/x"));
+        rig.run (Milliseconds (33));
+    }
+
+    for (int index = 0; index < 1600; ++index)
+    {
+        tickets.push_back (rig.send ("entry", "b" + std::to_string (index), "/fetch/x"));
+        rig.run (Duration (2500));
+    }
+
+    rig.run (std::chrono::seconds (1));
+    const auto isServed = [&] (Ticket ticket) {
+        return rig.answers().at (ticket).m_result.m_outcome == Outcome::completed;
+    };
+    CHECK (std::all_of (tickets.begin(), tickets.end(), isServed));
+}
+
+TEST_CASE ("a target that ran long requests is not taken for a slow one")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("one", "archive", "zone-a", 20);
+    rig.add ("two", "archive", "zone-a", 20);
+    rig.publish (makeTable (1, { makeRoute ("log", "archive"), makeRoute ("fetch", "archive") }));
+    rig.run (Milliseconds (100));
+    rig.setTarget ("one", answerByRoute);
+    rig.setTarget ("two", answerByRoute);
+
+    for (int index = 0; index < 600; ++index)
+    {
+        if (index % 12 == 0)
+            rig.send ("entry", "l" + std::to_string (index), "/log/x");
+
+        rig.send ("entry", "f" + std::to_string (index), "/fetch/x");
+        rig.run (Milliseconds (5));
+    }
+
+    const auto isAtOne = [] (const RelayRig::Run& run) {
+        return run.m_instance == "one" && run.m_dispatch.m_content.m_id.starts_with ("f");
+    };
+    const auto atOne = std::count_if (rig.runs().begin(), rig.runs().end(), isAtOne);
+    CHECK (atOne > 200);
+    CHECK (atOne < 400);
+}
+
+} // namespace plankledge::test
