--- a/modules/plankledge_policy/relay/entry/TargetChoice.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetChoice.cpp
@@ -9,10 +9,10 @@
 {
 
 /** What another zone costs at least, as time: the round trip, and its bytes are dear on short calls, too. */
-constexpr Duration leastZonePenalty = Milliseconds (25);
+constexpr Duration leastZonePenalty = Milliseconds (50);
 
 /** What another zone costs, as part of the objective. */
-constexpr int zonePenaltyDivisor = 10;
+constexpr int zonePenaltyDivisor = 5;
 
 /** How often a wait counts against the time of the work itself. */
 constexpr int waitWeight = 4;
