Within a priority, what asks most of the service that is short is refused first

Hypothesis: one field log takes as much of the archive as four readings with the same priority; refusing it first serves more callers with the same slots. Change: an entry finds the service that admits least of those a request needs, compares the request's work there with the mean of its priority, and bends its place in the order of refusal by that ratio, held to between a half and two, so no kind is admitted less than about half as often as others of its priority. Priorities are not touched. Test: relay_entry_admission (urgent kinds before lesser ones, the floor, room for all).

--- a/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_policy/relay/entry/EntryAdmission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plankledge
 {
@@ -15,6 +16,29 @@
 /** The longest timeout of a route is forgotten by so much with each request, should senders change. */
 constexpr double timeoutKept = 0.9999;
 
+/** Weight of a new request in the mean work of its priority. */
+constexpr double weightOfNew = 0.01;
+
+/** Requests that ask more of the service that is short are refused sooner, but none is admitted less than
+   half as often as others of its priority for it. */
+constexpr double largestHeaviness = 2.0;
+
+/** @returns how long requests of a route take at the targets of a service, microseconds; 0: not known */
+double meanTime (const ServiceName& service, const RouteName& route, const PeerTable& peers)
+{
+    double sum = 0.0;
+    double known = 0.0;
+
+    for (const auto* peer : peers.takingWork (service))
+    {
+        const auto time = static_cast<double> (peer->timeOf (route).count());
+        sum += time;
+        known += time > 0.0 ? 1.0 : 0.0;
+    }
+
+    return known > 0.0 ? sum / known : 0.0;
+}
+
 } // namespace
 
 //==============================================================================
@@ -24,20 +48,49 @@
                                                               Random& random)
 {
     constexpr std::uint64_t cohorts = 1000;
+    const auto& callees = calls.callsOf (route.m_name);
+    const auto bottleneck = bottleneckOf (service, calls.demandOf (route.m_name), peers);
     const auto cohort = static_cast<double> (random.below (cohorts)) / cohorts;
-    const auto share = isComingBack (route.m_name, timeout) ? (1.0 + cohort) / 2.0 : cohort / 2.0;
+    const auto order = isComingBack (route.m_name, timeout) ? (1.0 + cohort) / 2.0 : cohort / 2.0;
+    const auto share = 1.0 - std::pow (1.0 - order, heaviness (route, service, bottleneck, callees, peers));
     const auto place = routes.placeOfPriority (route.m_priority) + share * routes.widthOfPriority();
 
-    if (const auto level = levelOf (service, peers); place >= level)
-        return Refusal { service, place, level };
-
-    for (const auto& [callee, count] : calls.demandOf (route.m_name))
-        if (const auto level = levelOf (callee, peers); place >= level)
-            return Refusal { callee, place, level };
+    if (place >= bottleneck.m_level)
+        return Refusal { bottleneck.m_service, place, bottleneck.m_level };
 
     return std::nullopt;
 }
 
+EntryAdmission::Bottleneck EntryAdmission::bottleneckOf (const ServiceName& service,
+                                                         const CallGraph::Demand& demand,
+                                                         const PeerTable& peers) noexcept
+{
+    Bottleneck result { service, levelOf (service, peers) };
+
+    for (const auto& [callee, count] : demand)
+        if (const auto level = levelOf (callee, peers); level < result.m_level)
+            result = { callee, level };
+
+    return result;
+}
+
+/** @returns the work that a request asks of the service that is short, over the mean of its priority there */
+double EntryAdmission::heaviness (const Route& route, const ServiceName& service,
+                                  const Bottleneck& bottleneck, const CallGraph::Calls& calls,
+                                  const PeerTable& peers)
+{
+    const auto& shortOf = bottleneck.m_service;
+    auto work = shortOf == service ? meanTime (shortOf, route.m_name, peers) : 0.0;
+
+    for (const auto& [callee, times] : calls)
+        if (callee.first == shortOf)
+            work += times * meanTime (shortOf, callee.second, peers);
+
+    auto& mean = m_meanWork[{ shortOf, route.m_priority }];
+    mean += (work - mean) * (mean > 0.0 ? weightOfNew : 1.0);
+    return mean > 0.0 ? std::clamp (work / mean, 1.0 / largestHeaviness, largestHeaviness) : 1.0;
+}
+
 double EntryAdmission::levelOf (const ServiceName& service, const PeerTable& peers) noexcept
 {
     double levels = 0.0;
--- a/modules/plankledge_policy/relay/entry/EntryAdmission.h
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.h
@@ -6,6 +6,7 @@
 #include "plankledge_policy/relay/routes/RouteTable.h"
 
 #include <map>
+#include <utility>
 
 namespace plankledge
 {
@@ -19,7 +20,9 @@
     work is begun above a service which has no room for it. The place is its route's
     priority and, within that, a random cohort; one that comes back after a refusal draws
     from the worse half: under lasting overload as many are refused twice either way, and
-    an answer to a first attempt is worth more than one to a second.
+    an answer to a first attempt is worth more than one to a second. Within a priority,
+    requests that ask more than others of the service which is short tend to be refused
+    first, so that its slots serve more callers.
 */
 class EntryAdmission
 {
@@ -46,8 +49,21 @@
 
 private:
     //==============================================================================
+    /** The service without whose work a request can't be done, and that admits least. */
+    struct Bottleneck
+    {
+        ServiceName m_service;
+        double m_level = 1.0;
+    };
+
+    static Bottleneck bottleneckOf (const ServiceName& service, const CallGraph::Demand& demand,
+                                    const PeerTable& peers) noexcept;
+    double heaviness (const Route& route, const ServiceName& service, const Bottleneck& bottleneck,
+                      const CallGraph::Calls& calls, const PeerTable& peers);
     bool isComingBack (const RouteName& route, Duration timeout);
 
+    std::map<std::pair<ServiceName, std::uint32_t>, double> m_meanWork; /**< at a service, of the requests of
+                                                                           one priority; microseconds */
     std::map<RouteName, Duration> m_longestTimeouts; /**< that senders of a route's requests gave lately */
 };
 
--- a/modules/plankledge_policy/relay/routes/CallGraph.cpp
+++ b/modules/plankledge_policy/relay/routes/CallGraph.cpp
@@ -99,7 +99,7 @@
     }
 
     m_merged.clear();
-    m_demands.clear();
+    m_chains.clear();
 
     for (const auto& [names, sum] : sums)
         m_merged[names.first].push_back (
@@ -108,17 +108,17 @@
 }
 
 //==============================================================================
-const CallGraph::Demand& CallGraph::demandOf (const RouteName& route)
+const CallGraph::Chain& CallGraph::chainOf (const RouteName& route)
 {
-    const auto [entry, isNew] = m_demands.try_emplace (route);
+    const auto [entry, isNew] = m_chains.try_emplace (route);
 
     if (isNew)
-        addDemand (route, 1.0, 0, entry->second);
+        addCalls (route, 1.0, 0, entry->second);
 
     return entry->second;
 }
 
-void CallGraph::addDemand (const RouteName& route, double times, unsigned depth, Demand& demand) const
+void CallGraph::addCalls (const RouteName& route, double times, unsigned depth, Chain& chain) const
 {
     const auto found = m_merged.find (route);
 
@@ -128,8 +128,9 @@
     for (const auto& edge : found->second)
     {
         const auto calls = times * edge.m_callsPermille / permille;
-        demand[edge.m_service] += calls;
-        addDemand (edge.m_callee, calls, depth + 1, demand);
+        chain.m_demand[edge.m_service] += calls;
+        chain.m_calls[{ edge.m_service, edge.m_callee }] += calls;
+        addCalls (edge.m_callee, calls, depth + 1, chain);
     }
 }
 
--- a/modules/plankledge_policy/relay/routes/CallGraph.h
+++ b/modules/plankledge_policy/relay/routes/CallGraph.h
@@ -23,6 +23,9 @@
     /** How many calls one request of a route leads to, by the service that they reach. */
     using Demand = std::map<ServiceName, double>;
 
+    /** The same by service and route. */
+    using Calls = std::map<std::pair<ServiceName, RouteName>, double>;
+
     /** A request of this route began to run at the own target. */
     void onRequest (const RouteName& route);
 
@@ -39,7 +42,8 @@
     void forget (const InstanceName& peer);
 
     /** @returns the calls of one request of the route, over all depths; its own service is not in it */
-    const Demand& demandOf (const RouteName& route);
+    const Demand& demandOf (const RouteName& route) { return chainOf (route).m_demand; }
+    const Calls& callsOf (const RouteName& route) { return chainOf (route).m_calls; }
 
 private:
     //==============================================================================
@@ -55,13 +59,21 @@
         std::map<RouteName, Callee> m_callees;
     };
 
-    void addDemand (const RouteName& route, double times, unsigned depth, Demand& demand) const;
+    /** What one request of a route leads to. */
+    struct Chain
+    {
+        Demand m_demand;
+        Calls m_calls;
+    };
+
+    const Chain& chainOf (const RouteName& route);
+    void addCalls (const RouteName& route, double times, unsigned depth, Chain& chain) const;
     void mergeEdges();
 
     std::map<RouteName, Caller> m_own;
     std::map<InstanceName, std::vector<CallEdge>> m_peers;
     std::map<RouteName, std::vector<CallEdge>> m_merged; /**< mean over all that saw the caller */
-    std::map<RouteName, Demand> m_demands;               /**< worked out since the last change */
+    std::map<RouteName, Chain> m_chains;                 /**< worked out since the last change */
 };
 
 } // namespace plankledge
--- /dev/null
+++ b/tests/relay/entry/EntryAdmission_test.cpp
@@ -0,0 +1,111 @@
+#include "plankledge_policy/relay/entry/EntryAdmission.h"
+
+#include <doctest/doctest.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+constexpr Duration timeout = std::chrono::seconds (5);
+
+Route routeTo (const RouteName& name, const ServiceName& service, std::uint32_t priority)
+{
+    Route route;
+    route.m_name = name;
+    route.m_priority = priority;
+    route.m_services = { { service, 1 } };
+    return route;
+}
+
+Member memberOf (const InstanceName& instance, const ServiceName& service)
+{
+    Member member;
+    member.m_id.m_instance = instance;
+    member.m_service = service;
+    return member;
+}
+
+/** An entry that knows one target of "archive", where "log" takes 480 ms, "fetch" 30 ms and "urgent" 480 ms.
+   A "status" of another service makes four fetches. */
+struct Entry
+{
+    explicit Entry (std::uint16_t levelPermille)
+        : m_peers (memberOf ("entry", "web"))
+    {
+        m_peers.learn (memberOf ("one", "archive"), PeerTable::Source::itself);
+        m_peers.find ("one")->m_isHeard = true;
+        m_peers.onGate ("one", { true, 20, 0, {}, 0, levelPermille }, {});
+        m_peers.onRouteTime ("one", { "log", Milliseconds (480) });
+        m_peers.onRouteTime ("one", { "urgent", Milliseconds (480) });
+        m_peers.onRouteTime ("one", { "fetch", Milliseconds (30) });
+        m_calls.onPeerEdges ("two", { { "status", "fetch", "archive", 4000 } });
+
+        RouteTable::Hosts hosts;
+        hosts["host"] = { { "/urgent/", routeTo ("urgent", "archive", 0) },
+                          { "/log/", routeTo ("log", "archive", 1) },
+                          { "/status/", routeTo ("status", "portal", 1) } };
+        m_routes = RouteTable (1, hosts);
+    }
+
+    /** Judges as many requests of each kind as come to the users' archive, four in five of them small.
+
+        @returns the share that is admitted of each kind
+    */
+    std::map<std::string, double> admitted()
+    {
+        std::map<std::string, double> admitted;
+        std::map<std::string, double> asked;
+
+        for (int index = 0; index < 6000; ++index)
+        {
+            const std::string path = index % 6 == 0 ? "/log/" : index % 6 == 1 ? "/urgent/" : "/status/";
+            const auto* route = m_routes.find ("host", path);
+            const auto refusal = m_admission.judge (*route, route->m_services.front().m_service, timeout,
+                                                    m_routes, m_peers, m_calls, m_random);
+            asked[path] += 1.0;
+            admitted[path] += refusal.has_value() ? 0.0 : 1.0;
+        }
+
+        for (auto& [path, count] : admitted)
+            count /= asked[path];
+
+        return admitted;
+    }
+
+    PeerTable m_peers;
+    CallGraph m_calls;
+    RouteTable m_routes;
+    EntryAdmission m_admission;
+    Random m_random { 7 };
+};
+
+} // namespace
+
+//==============================================================================
+TEST_CASE ("with room for all, all is admitted")
+{
+    for (const auto& [path, share] : Entry (1000).admitted())
+        CHECK (share == 1.0);
+}
+
+TEST_CASE ("within a priority what asks most of the service that is short is refused first, down to half")
+{
+    // All of the first priority, and of the second a quarter: first attempts draw from the better half.
+    auto admitted = Entry (625).admitted();
+    CHECK (admitted["/urgent/"] == 1.0);
+    CHECK (admitted["/status/"] > 0.5);
+    CHECK (admitted["/log/"] < admitted["/status/"] * 0.7);
+    CHECK (admitted["/log/"] > admitted["/status/"] * 0.3);
+}
+
+TEST_CASE ("a lesser priority is never admitted before a more urgent one")
+{
+    auto admitted = Entry (300).admitted();
+    CHECK (admitted["/urgent/"] > 0.5);
+    CHECK (admitted["/log/"] == 0.0);
+    CHECK (admitted["/status/"] == 0.0);
+}
+
+} // namespace plankledge::test
