--- a/programs/plankledge-node.cpp
+++ b/programs/plankledge-node.cpp
@@ -2,9 +2,9 @@
  * variables. */
 
 #include "plankledge_runtime/KeyedNode.h"
+#include "plankledge_runtime/NodeProgram.h"
 #include "plankledge_runtime/ProgramSettings.h"
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
 #include <random>
 
@@ -87,20 +87,6 @@
     Logger logger (FLAGS_instance, parseSeverity (FLAGS_log_level));
     boost::asio::io_context context (1);
     KeyedNode node (context, options, logger);
-
-    if (const auto status = node.start(); ! status.ok())
-    {
-        logger.write (Severity::error, "start-failed", { { "reason", std::string (status.message()) } });
-        return 1;
-    }
-
-    boost::asio::signal_set signals (context, SIGTERM, SIGINT);
-    signals.async_wait ([&node] (const boost::system::error_code& error, int) {
-        if (! error)
-            node.requestStop();
-    });
-
-    logger.write (Severity::info, "started", { { "service", FLAGS_service }, { "zone", FLAGS_zone } });
-    context.run();
-    return 0;
+    const NodeHooks hooks { [&node] { return node.start(); }, [&node] { node.requestStop(); } };
+    return runNode (context, logger, hooks, { { "service", FLAGS_service }, { "zone", FLAGS_zone } });
 }
