--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -135,6 +135,7 @@
     std::uint16_t m_urgency = 0;   /**< the smaller, the sooner run */
     bool m_isRepeat = false;       /**< it, or a request that it is a call of, was sent to a target before */
     bool m_isNested = false;       /**< a call made by a target for a request that runs already */
+    Duration m_chainAge {};        /**< since the request at the head of the chain came to its entry */
     Duration m_timeLeft {};        /**< until nobody waits for the answer, when this was sent */
     Duration m_longestQueueing {}; /**< it is refused rather than kept waiting longer for a slot */
     Duration m_sentAt {};          /**< by the sender's steady clock; tells how long this was under way */
@@ -144,7 +145,7 @@
     template <class Archive> void serialize (Archive& archive)
     {
         archive (m_callId, m_content, m_service, m_callerService, m_route, m_urgency, m_isRepeat, m_isNested,
-                 m_timeLeft, m_longestQueueing, m_sentAt);
+                 m_chainAge, m_timeLeft, m_longestQueueing, m_sentAt);
     }
 };
 
--- a/modules/plankledge_policy/relay/entry/EntryRequest.h
+++ b/modules/plankledge_policy/relay/entry/EntryRequest.h
@@ -18,6 +18,7 @@
     bool m_isNested = false;
     std::uint16_t m_urgency = 0; /**< its route's priority; a call has that of the request it is for */
     Time m_receivedAt;
+    Time m_chainStartedAt; /**< when the request at the head of its chain came to its entry */
     Time m_deadline;
     Time m_holdEnd;
     std::set<InstanceName> m_tried;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -89,13 +89,16 @@
     request.m_service = m_shares.next (route);
     request.m_urgency = static_cast<std::uint16_t> (route.m_priority);
     request.m_receivedAt = turn.now();
+    request.m_chainStartedAt = turn.now();
 
-    if (const auto* parent = m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)))
+    if (const auto running = m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)))
     {
+        const auto& parent = running->m_request;
         request.m_isNested = true;
-        request.m_urgency = parent->m_urgency;
-        request.m_isOfRepeat = parent->m_isRepeat;
-        m_parts.m_gate.onNestedCall (parent->m_route, route.m_name, request.m_service);
+        request.m_urgency = parent.m_urgency;
+        request.m_isOfRepeat = parent.m_isRepeat;
+        request.m_chainStartedAt = running->m_chainStartedAt;
+        m_parts.m_gate.onNestedCall (parent.m_route, route.m_name, request.m_service);
     }
 
     request.m_deadline = turn.now() + std::min (received.m_timeout.value_or (usualTimeout), route.m_timeout);
@@ -180,6 +183,7 @@
     message.m_urgency = request.m_urgency;
     message.m_isRepeat = request.m_isOfRepeat || request.m_arrivals > 0;
     message.m_isNested = request.m_isNested;
+    message.m_chainAge = now - request.m_chainStartedAt;
     message.m_timeLeft = request.m_deadline - now;
     message.m_longestQueueing = std::max (Duration::zero(), Duration (request.m_holdEnd - now));
     message.m_sentAt = now.time_since_epoch();
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -55,7 +55,8 @@
 void TargetGate::receive (Turn& turn, const GateCaller& caller, RelayRequest request)
 {
     const auto id = m_next++;
-    Call call { caller, std::move (request), turn.now(), {}, {}, {}, false };
+    Call call { caller, std::move (request), turn.now(), {}, {}, {}, {}, false };
+    call.m_chainStartedAt = turn.now() - call.m_request.m_chainAge;
     call.m_deadline = turn.now() + call.m_request.m_timeLeft;
     call.m_slotTime = m_slotTimes.of (call.m_request.m_route);
     m_asked += call.m_slotTime;
@@ -86,7 +87,7 @@
 
 TargetGate::QueueKey TargetGate::keyOf (CallId id, const Call& call) noexcept
 {
-    return { call.m_request.m_urgency, id };
+    return { call.m_request.m_urgency, call.m_chainStartedAt, id };
 }
 
 std::uint32_t TargetGate::limit() const noexcept
@@ -393,10 +394,15 @@
 }
 
 //==============================================================================
-const RelayRequest* TargetGate::findRunning (std::string_view requestId) const noexcept
+std::optional<TargetGate::Running> TargetGate::findRunning (std::string_view requestId) const noexcept
 {
     const auto found = m_byRequest.find (requestId);
-    return found == m_byRequest.end() ? nullptr : &m_calls.at (found->second).m_request;
+
+    if (found == m_byRequest.end())
+        return std::nullopt;
+
+    const auto& call = m_calls.at (found->second);
+    return Running { call.m_request, call.m_chainStartedAt };
 }
 
 void TargetGate::onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service)
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -9,7 +9,8 @@
 
 #include <functional>
 #include <map>
-#include <utility>
+#include <optional>
+#include <tuple>
 
 namespace plankledge
 {
@@ -69,8 +70,15 @@
     void stop (Turn& turn);
 
     //==============================================================================
-    /** @returns a request that runs at the target, or nullptr */
-    const RelayRequest* findRunning (std::string_view requestId) const noexcept;
+    /** A request that runs at the target. */
+    struct Running
+    {
+        const RelayRequest& m_request;
+        Time m_chainStartedAt;
+    };
+
+    /** @returns the request with this id, or nullopt where it does not run here */
+    std::optional<Running> findRunning (std::string_view requestId) const noexcept;
 
     /** A request that runs at the target made a call. */
     void onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service);
@@ -85,14 +93,16 @@
 
 private:
     //==============================================================================
-    /** The order of the queue: urgency, then arrival. */
-    using QueueKey = std::pair<std::uint16_t, CallId>;
+    /** The order of the queue: urgency, then the start of the chain, then arrival. What an old chain has
+        already taken of the slots is lost with it, so its calls go before those of newer ones. */
+    using QueueKey = std::tuple<std::uint16_t, Time, CallId>;
 
     struct Call
     {
         GateCaller m_caller;
         RelayRequest m_request;
         Time m_receivedAt;
+        Time m_chainStartedAt;
         Time m_deadline;
         Time m_dispatchedAt;
         Duration m_slotTime {}; /**< that it is expected to hold a slot */
--- a/tests/relay/RelayDecisions_test.cpp
+++ b/tests/relay/RelayDecisions_test.cpp
@@ -441,6 +441,33 @@
     CHECK (rig.runs().size() == tickets.size() - refused);
 }
 
+TEST_CASE ("a call of an older chain gets a slot before a request that came before the call")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("front", "front", "zone-a", 10);
+    rig.add ("deep", "deep", "zone-a", 1);
+    rig.publish (makeTable (1, { makeRoute ("root", "front"), makeRoute ("call", "deep") }));
+    rig.run (Milliseconds (100));
+    rig.setTarget ("deep", always (TargetReplyKind::answered, Milliseconds (50)));
+    rig.setTarget ("front", never);
+
+    const auto parent = rig.send ("entry", "old", "/root/x");
+    rig.run (Milliseconds (10));
+    CHECK (rig.runsOf ("old").size() == 1);
+    rig.send ("entry", "first", "/call/x");
+    rig.run (Milliseconds (10));
+    rig.send ("entry", "second", "/call/x");
+    rig.run (Milliseconds (10));
+    rig.send ("front", "old.call", "/call/x");
+    rig.run (Milliseconds (200));
+
+    REQUIRE (rig.runsOf ("old.call").size() == 1);
+    REQUIRE (rig.runsOf ("second").size() == 1);
+    CHECK (rig.runsOf ("old.call").front().m_at < rig.runsOf ("second").front().m_at);
+    rig.close ("entry", parent);
+}
+
 TEST_CASE ("requests are refused at the entry for a service that only their calls reach")
 {
     RelayRig rig;
