--- /dev/null
+++ b/tests/relay/entry/Admission_test.cpp
@@ -0,0 +1,142 @@
+#include "support/RelaySite.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+} // namespace
+
+//==============================================================================
+TEST_CASE ("calls of requests that run go before new ones, and what can't run in time is refused unsent")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("one", "plans", "zone-a", 1);
+    rig.publish (makeTable (1, { makeRoute ("read", "plans") }));
+    rig.run (Milliseconds (100));
+    rig.setTarget ("one", always (TargetReplyKind::answered, Milliseconds (100)));
+    std::vector<Ticket> tickets;
+
+    for (int index = 0; index < 40; ++index)
+        tickets.push_back (rig.send ("entry", "a" + std::to_string (index), "/read/x"));
+
+    rig.run (seconds (4));
+    std::size_t refused = 0;
+
+    for (const auto ticket : tickets)
+    {
+        const auto& result = rig.answers().at (ticket).m_result;
+        refused += result.m_outcome == Outcome::notRun ? 1 : 0;
+
+        if (result.m_outcome == Outcome::notRun)
+            CHECK (result.m_comeBack > Duration::zero());
+    }
+
+    CHECK (refused > 30);
+    CHECK (rig.runs().size() == tickets.size() - refused);
+}
+
+TEST_CASE ("a call of an older chain gets a slot before a request that came before the call")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("front", "front", "zone-a", 10);
+    rig.add ("deep", "deep", "zone-a", 1);
+    rig.publish (makeTable (1, { makeRoute ("root", "front"), makeRoute ("call", "deep") }));
+    rig.run (Milliseconds (100));
+    rig.setTarget ("deep", always (TargetReplyKind::answered, Milliseconds (50)));
+    rig.setTarget ("front", never);
+
+    const auto parent = rig.send ("entry", "old", "/root/x");
+    rig.run (Milliseconds (10));
+    CHECK (rig.runsOf ("old").size() == 1);
+    rig.send ("entry", "first", "/call/x");
+    rig.run (Milliseconds (10));
+    rig.send ("entry", "second", "/call/x");
+    rig.run (Milliseconds (10));
+    rig.send ("front", "old.call", "/call/x");
+    rig.run (Milliseconds (200));
+
+    REQUIRE (rig.runsOf ("old.call").size() == 1);
+    REQUIRE (rig.runsOf ("second").size() == 1);
+    CHECK (rig.runsOf ("old.call").front().m_at < rig.runsOf ("second").front().m_at);
+    rig.close ("entry", parent);
+}
+
+TEST_CASE ("requests are refused at the entry for a service that only their calls reach")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("front", "front", "zone-a", 400);
+    rig.add ("deep", "deep", "zone-a", 2);
+    rig.publish (makeTable (1, { makeRoute ("root", "front"), makeRoute ("call", "deep") }));
+    rig.run (Milliseconds (100));
+    rig.setTarget ("deep", always (TargetReplyKind::answered, Milliseconds (50)));
+    int calls = 0;
+
+    // Each request makes one call through the node beside its target.
+    rig.setTarget (
+        "front", [&calls] (RelayRig& inner, const InstanceName& instance, const RelayToTarget& dispatch) {
+            inner.send (instance, dispatch.m_content.m_id + ".c" + std::to_string (++calls), "/call/x");
+            inner.reply (instance, dispatch.m_call, TargetReplyKind::answered, Milliseconds (100));
+        });
+
+    std::vector<Ticket> tickets;
+
+    for (int index = 0; index < 1000; ++index)
+    {
+        tickets.push_back (rig.send ("entry", "a" + std::to_string (index), "/root/x"));
+        rig.run (Milliseconds (5));
+    }
+
+    rig.run (seconds (1));
+    std::size_t refusedLate = 0;
+
+    for (std::size_t index = tickets.size() / 2; index < tickets.size(); ++index)
+        refusedLate += rig.answers().at (tickets[index]).m_result.m_reason == Reason::overloadedDownstream;
+
+    // 200 requests a second come; the service below does about 20.
+    CHECK (refusedLate > tickets.size() * 3 / 8);
+}
+
+TEST_CASE ("what a target rejects at once takes no capacity: nothing is refused at the entry for it")
+{
+    RelayRig rig;
+    rig.add ("entry", "web");
+    rig.add ("one", "plans", "zone-a", 20);
+    rig.publish (makeTable (1, { makeRoute ("read", "plans") }));
+    rig.run (Milliseconds (100));
+    const auto count = std::make_shared<int> (0);
+
+    // Half of the requests are rejected at once, the others take 50 ms: ten of twenty slots for 400 a second.
+    rig.setTarget (
+        "one", [count] (RelayRig& inner, const InstanceName& instance, const RelayToTarget& dispatch) {
+            if (++*count % 2 == 0)
+                inner.reply (instance, dispatch.m_call, TargetReplyKind::rejected, Milliseconds (1));
+            else
+                inner.reply (instance, dispatch.m_call, TargetReplyKind::answered, Milliseconds (50));
+        });
+
+    std::vector<Ticket> tickets;
+
+    for (int index = 0; index < 2000; ++index)
+    {
+        tickets.push_back (rig.send ("entry", "a" + std::to_string (index), "/read/x"));
+        rig.run (index % 2 == 0 ? Milliseconds (5) : Duration::zero());
+    }
+
+    rig.run (seconds (1));
+    const auto isRefused = [&] (Ticket ticket) {
+        return rig.answers().at (ticket).m_result.m_reason == Reason::overloadedDownstream;
+    };
+    CHECK (std::count_if (tickets.begin(), tickets.end(), isRefused) < 20);
+}
+
+} // namespace plankledge::test
--- /dev/null
+++ b/tests/relay/gate/LeavingAndStopping_test.cpp
@@ -0,0 +1,142 @@
+#include "support/RelaySite.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+} // namespace
+
+//==============================================================================
+namespace
+{
+
+/** How a target leaves. */
+struct LeaveRow
+{
+    const char* m_name;
+    AnnouncedState m_state;
+};
+
+const LeaveRow leaveRows[] = { { "it says that it drains", AnnouncedState::draining },
+                               { "it says at once that it is gone", AnnouncedState::gone } };
+
+} // namespace
+
+TEST_CASE ("a target that leaves gets no new work, whatever comes late or starts again")
+{
+    for (const auto& row : leaveRows)
+    {
+        CAPTURE (row.m_name);
+        RelaySite site;
+        site.announce ("one", row.m_state);
+
+        for (int index = 0; index < 50; ++index)
+        {
+            site.send ("entry", "a" + std::to_string (index), "/read/x");
+            site.run (Milliseconds (10));
+        }
+
+        const auto isAtOne = [] (const RelayRig::Run& run) { return run.m_instance == "one"; };
+        CHECK (std::count_if (site.runs().begin(), site.runs().end(), isAtOne) == 0);
+
+        // An announcement that was on its way since before.
+        site.tell ("one",
+                   TargetAnnounced {
+                       "one-target-1", AnnouncedState::serving, 1, "plans", { "10.1.0.1", 8080 }, 20 });
+        site.send ("entry", "late", "/read/x");
+        site.run (Milliseconds (100));
+        CHECK (std::count_if (site.runs().begin(), site.runs().end(), isAtOne) == 0);
+    }
+}
+
+TEST_CASE ("a gate that starts again takes nothing before it has heard its target")
+{
+    RelaySite site;
+    site.kill ("one");
+    site.kill ("two");
+    site.start ("two");
+    site.tell ("two", RoutesRead { "version 1" });
+    const auto before = site.runs().size();
+    const auto early = site.send ("entry", "a", "/read/x", seconds (1));
+    site.run (Milliseconds (50));
+    CHECK (site.runs().size() == before);
+    site.run (seconds (2));
+    CHECK (site.answers().contains (early));
+
+    // Heard to be leaving: never.
+    site.announce ("two", AnnouncedState::draining);
+    const auto draining = site.send ("entry", "b", "/read/x", seconds (1));
+    site.run (seconds (2));
+    CHECK (site.runsOf ("b").empty());
+    CHECK (site.outcomeOf (draining) == Outcome::notRun);
+}
+
+TEST_CASE ("another life of a target is taken up, and the old one is not heard any more")
+{
+    RelaySite site;
+    site.announce ("one", AnnouncedState::draining);
+    site.replaceTarget ("one");
+    site.announce ("one");
+    site.announce ("two", AnnouncedState::draining);
+    site.tell ("one", TargetAnnounced {
+                          "one-target-1", AnnouncedState::serving, 99, "plans", { "10.1.0.1", 8080 }, 20 });
+    const auto ticket = site.send ("entry", "a", "/read/x");
+    site.run (Milliseconds (100));
+    CHECK (site.outcomeOf (ticket) == Outcome::completed);
+    REQUIRE (site.runsOf ("a").size() == 1);
+    CHECK (site.runsOf ("a")[0].m_dispatch.m_target == "one-target-2");
+}
+
+TEST_CASE ("a planned stop cuts no request, and peers go elsewhere in good time")
+{
+    RelaySite site;
+    site.setTargets (always (TargetReplyKind::answered, Milliseconds (2500)));
+    std::vector<Ticket> tickets;
+
+    for (int index = 0; index < 10; ++index)
+        tickets.push_back (site.send ("entry", "a" + std::to_string (index), "/write/x"));
+
+    site.run (Milliseconds (50));
+    site.tell ("one", StopRequested {});
+    site.run (Milliseconds (1550));
+    const auto runsBefore = site.runs().size();
+
+    for (int index = 0; index < 10; ++index)
+        tickets.push_back (site.send ("entry", "b" + std::to_string (index), "/write/x"));
+
+    site.run (seconds (6));
+    CHECK (site.hasExited ("one"));
+
+    for (const auto ticket : tickets)
+        CHECK (site.outcomeOf (ticket) == Outcome::completed);
+
+    for (auto run = site.runs().begin() + static_cast<std::ptrdiff_t> (runsBefore); run != site.runs().end();
+         ++run)
+        CHECK (run->m_instance == "two");
+}
+
+TEST_CASE ("a stopping entry is not ready, serves what comes until callers have gone elsewhere, and ends")
+{
+    RelaySite site;
+    site.tell ("entry", StopRequested {});
+    CHECK_FALSE (site.reducer ("entry").relay().isReady());
+    const auto soon = site.send ("entry", "a", "/read/x");
+    site.setTargets (always (TargetReplyKind::answered, Milliseconds (1500)));
+    site.run (Milliseconds (2300));
+    site.send ("entry", "last", "/read/x");
+    site.run (Milliseconds (300));
+    const auto late = site.send ("entry", "b", "/read/x");
+    site.run (seconds (2));
+    CHECK (site.outcomeOf (soon) == Outcome::completed);
+    CHECK (site.reasonOf (late) == Reason::draining);
+    CHECK (site.hasExited ("entry"));
+}
+
+} // namespace plankledge::test
