--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -29,6 +29,7 @@
     By<RetryDenied, RetryDenied::retryDeniedCount> m_retriesDenied;
     std::array<std::uint64_t, 3> m_outcomes {}; /**< by Outcome */
     std::uint64_t m_dispatches = 0;             /**< calls sent to the own target */
+    std::uint64_t m_lostCalls = 0;              /**< not run, of chains that the own target had worked for */
     std::uint64_t m_redirects = 0;              /**< sent to another instance since one could not take it */
     std::uint64_t m_lateAnswers = 0;            /**< of calls already given up on */
     std::uint64_t m_attached = 0;               /**< resendings that joined the running request */
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -24,6 +24,10 @@
    of a node, in which thousands of routes may come and go. */
 constexpr Duration timesKept = std::chrono::minutes (5);
 
+/** A chain from which nothing came for so long has ended, or takes nothing of this target's any more: callers
+   wait for up to six seconds, and no call for more than half of that. */
+constexpr Duration chainsKept = std::chrono::seconds (3);
+
 /** Failures are forgotten by this in each window, so that a target which gets no requests any more is tried
    again: half in 2.3 s. */
 constexpr double failuresKept = 0.97;
@@ -82,6 +86,7 @@
               { "expected_wait_ms", fmt::format ("{}", toMilliseconds (expectedWait (id, call))) },
               { "time_left_ms", fmt::format ("{}", toMilliseconds (call.m_request.m_timeLeft)) } } });
         ++turn.counters().m_refusals[reason];
+        countIfLost (turn, call);
         return answer (turn, caller, call.m_request.m_route, refusal (reason));
     }
 
@@ -158,6 +163,7 @@
     ++m_running;
     ++turn.counters().m_dispatches;
     m_byRequest[request.m_content.m_id] = id;
+    m_begun.add (request.m_content.m_id, turn.now());
     m_graph.onRequest (request.m_route);
 
     if (isLogged (request.m_content.m_id))
@@ -223,6 +229,13 @@
         m_serviceTimes.learn (call.m_request.m_route, now - call.m_dispatchedAt, now);
 }
 
+/** Counts a call that ends unrun though its chain has had work done here, which is lost with it. */
+void TargetGate::countIfLost (Turn& turn, const Call& call) const
+{
+    if (! call.m_isDispatched && m_begun.contains (call.m_request.m_content.m_id))
+        ++turn.counters().m_lostCalls;
+}
+
 void TargetGate::onAnnounced (Turn& turn, const TargetAnnounced& announced)
 {
     const auto change = m_target.onAnnounced (announced, turn.now());
@@ -260,6 +273,7 @@
     if (call.m_isDispatched)
         turn.emit (AbandonTarget { id });
 
+    countIfLost (turn, call);
     dispatchNext (turn);
 }
 
@@ -311,6 +325,7 @@
 {
     m_serviceTimes.forgetBefore (turn.now() - timesKept);
     m_slotTimes.forgetBefore (turn.now() - timesKept);
+    m_begun.forgetBefore (turn.now() - chainsKept);
     const auto before = m_level.permille();
     const auto asked = std::exchange (m_asked, Duration::zero());
     const auto capacity = m_slotTimes.isEmpty() ? Duration::zero() : AdmissionLevel::period * limit();
@@ -331,7 +346,9 @@
                                { "asked_slot_ms", fmt::format ("{}", toMilliseconds (asked)) },
                                { "capacity_slot_ms", fmt::format ("{}", toMilliseconds (capacity)) },
                                { "queued_slot_ms", fmt::format ("{}", toMilliseconds (m_queuedWork)) },
-                               { "queued", fmt::format ("{}", m_queue.size()) } } });
+                               { "queued", fmt::format ("{}", m_queue.size()) },
+                               { "dispatches", fmt::format ("{}", turn.counters().m_dispatches) },
+                               { "lost_calls", fmt::format ("{}", turn.counters().m_lostCalls) } } });
 }
 
 void TargetGate::stop (Turn& turn)
@@ -396,6 +413,7 @@
           { "dispatched", call.m_isDispatched ? "yes" : "no" },
           { "in_gate_ms", fmt::format ("{}", toMilliseconds (turn.now() - call.m_receivedAt)) } } });
     ++turn.counters().m_refusals[result.m_reason];
+    countIfLost (turn, call);
     answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
 }
 
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -3,6 +3,7 @@
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/RelaySettings.h"
 #include "plankledge_policy/relay/gate/AdmissionLevel.h"
+#include "plankledge_policy/relay/gate/BegunChains.h"
 #include "plankledge_policy/relay/gate/OwnTarget.h"
 #include "plankledge_policy/relay/gate/RouteTimes.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
@@ -120,6 +121,7 @@
     void answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result);
     Call take (Turn& turn, CallId id);
     void learn (const Call& call, Time now, bool isFailure);
+    void countIfLost (Turn& turn, const Call& call) const;
     void updateOpen (Turn& turn);
 
     Hooks m_hooks;
@@ -131,6 +133,7 @@
     std::map<GateCaller, CallId> m_byCaller;
     std::map<std::string, CallId, std::less<>> m_byRequest; /**< those that run */
     std::map<QueueKey, CallId> m_queue;
+    BegunChains m_begun; /**< that had a call run at the target */
     std::size_t m_running = 0;
     CallId m_next = 1;
     Duration m_asked {};       /**< slot time of the requests that came in this period */
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -92,6 +92,7 @@
                              nameOf (static_cast<Outcome> (index)), counters.m_outcomes[index]);
 
     appendCounter (text, "dispatches_total", counters.m_dispatches);
+    appendCounter (text, "lost_calls_total", counters.m_lostCalls);
     appendCounter (text, "redirects_total", counters.m_redirects);
     appendCounter (text, "late_answers_total", counters.m_lateAnswers);
     appendCounter (text, "pauses_total", counters.m_wakes);
