--- a/modules/plankledge_policy/relay/entry/TargetChoice.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetChoice.cpp
@@ -44,12 +44,17 @@
 
 Duration penaltyOf (const Peer& peer, const ChoiceNeeds& needs) noexcept
 {
-    const auto failures = scaled (needs.m_latencyObjective, peer.m_gate.m_failurePermille / permille);
+    // What a gate refuses at the entries never shows in its queue: without this one of two gates stood at
+    // half of its level for ten seconds, while the other, in the next zone, was idle, and a third of all
+    // requests was refused.
+    const auto refused = permille - peer.m_gate.m_admittedPermille;
+    const auto penalty =
+        scaled (needs.m_latencyObjective, (peer.m_gate.m_failurePermille + refused) / permille);
 
     if (peer.m_member.m_zone == needs.m_zone)
-        return failures;
+        return penalty;
 
-    return failures + std::max (leastZonePenalty, needs.m_latencyObjective / zonePenaltyDivisor);
+    return penalty + std::max (leastZonePenalty, needs.m_latencyObjective / zonePenaltyDivisor);
 }
 
 Duration timeOf (const Peer& peer, const ChoiceNeeds& needs) noexcept
--- a/tests/relay/entry/TargetChoice_test.cpp
+++ b/tests/relay/entry/TargetChoice_test.cpp
@@ -16,6 +16,7 @@
     std::uint32_t m_load;
     int m_serviceMs;
     std::uint16_t m_failurePermille;
+    std::uint16_t m_refusedPermille = 0; /**< of the order of refusal, by its gate */
 };
 
 /** Candidates with 20 slots each, and which of them gets nearly all requests of zone a. */
@@ -44,6 +45,17 @@
       "own" },
     { "within a zone the faster", { { "slow", "a", 5, 400, 0 }, { "fast", "a", 5, 50, 0 } }, "fast" },
     { "the one that does not fail", { { "grey", "a", 0, 20, 500 }, { "far", "b", 0, 20, 0 } }, "far" },
+    // A gate that refuses at the entries keeps its queue short. One stood at a level of 0.5 for ten seconds,
+    // while that of the next zone was idle and a third of all requests was refused.
+    { "another zone, while the own one refuses half, though nothing waits there",
+      { { "own", "a", 20, 30, 0, 500 }, { "far", "b", 5, 30, 0 } },
+      "far" },
+    { "the own zone, while both refuse alike",
+      { { "own", "a", 20, 30, 0, 500 }, { "far", "b", 20, 30, 0, 500 } },
+      "own" },
+    { "the own zone, though it refuses a tenth",
+      { { "own", "a", 20, 30, 0, 100 }, { "far", "b", 5, 30, 0 } },
+      "own" },
     { "a slow one is left, even for another zone",
       { { "slow", "a", 5, 900, 0 }, { "far", "b", 5, 60, 0 } },
       "far" },
@@ -65,9 +77,12 @@
         Peer peer;
         peer.m_member.m_id.m_instance = candidate.m_name;
         peer.m_member.m_zone = candidate.m_zone;
-        peer.m_gate = {
-            true, 20, candidate.m_load, waitingWork (candidate), candidate.m_failurePermille, 1000
-        };
+        peer.m_gate = { true,
+                        20,
+                        candidate.m_load,
+                        waitingWork (candidate),
+                        candidate.m_failurePermille,
+                        static_cast<std::uint16_t> (1000 - candidate.m_refusedPermille) };
         peer.m_times["route"] = Milliseconds (candidate.m_serviceMs);
         peers.push_back (peer);
     }
