--- /dev/null
+++ b/modules/plankledge_policy/relay/LogText.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "plankledge_core/Time.h"
+
+#include <cstdint>
+#include <fmt/format.h>
+#include <string>
+
+/** How values stand in the log's lines about relayed requests. */
+namespace plankledge::detail
+{
+
+inline std::string milliseconds (Duration duration)
+{
+    return fmt::format ("{}", toMilliseconds (duration));
+}
+
+inline std::string number (std::uint64_t value)
+{
+    return fmt::format ("{}", value);
+}
+
+inline std::string yesOrNo (bool value)
+{
+    return value ? "yes" : "no";
+}
+
+} // namespace plankledge::detail
--- a/modules/plankledge_policy/relay/entry/EntryLog.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryLog.cpp
@@ -1,6 +1,6 @@
 #include "plankledge_policy/relay/entry/EntryLog.h"
 
-#include <fmt/format.h>
+#include "plankledge_policy/relay/LogText.h"
 
 namespace plankledge::detail
 {
@@ -8,16 +8,6 @@
 namespace
 {
 
-std::string milliseconds (Duration duration)
-{
-    return fmt::format ("{}", toMilliseconds (duration));
-}
-
-std::string number (std::uint64_t value)
-{
-    return fmt::format ("{}", value);
-}
-
 std::string triedBy (const EntryRequest& request)
 {
     return fmt::format ("{}", fmt::join (request.m_tried, ","));
--- /dev/null
+++ b/modules/plankledge_policy/relay/gate/GateLog.cpp
@@ -0,0 +1,72 @@
+#include "plankledge_policy/relay/gate/GateLog.h"
+
+#include "plankledge_policy/relay/LogText.h"
+
+namespace plankledge::detail
+{
+
+LogDecision logGateRefused (const GateCall& call, Reason reason, const GateFill& fill)
+{
+    return { Decision::gateRefused,
+             call.m_request.m_content.m_id,
+             { { "reason", std::string (nameOf (reason)) },
+               { "running", number (fill.m_running) },
+               { "queued", number (fill.m_queued) },
+               { "limit", number (fill.m_limit) },
+               { "begun", yesOrNo (call.m_hasBegun) },
+               { "expected_wait_ms", milliseconds (fill.m_expectedWait) },
+               { "time_left_ms", milliseconds (call.m_request.m_timeLeft) } } };
+}
+
+LogDecision logDispatched (const GateCall& call, const TargetId& target, std::size_t running)
+{
+    return { Decision::gateDispatched,
+             call.m_request.m_content.m_id,
+             { { "target", target },
+               { "waited_ms", milliseconds (call.m_dispatchedAt - call.m_receivedAt) },
+               { "running", number (running) } } };
+}
+
+LogDecision logBroken (const GateCall& call, const TargetId& target, Reason reason, Time now)
+{
+    return { Decision::gateEnded,
+             call.m_request.m_content.m_id,
+             { { "reason", std::string (nameOf (reason)) },
+               { "target", target },
+               { "ran_ms", milliseconds (now - call.m_dispatchedAt) } } };
+}
+
+LogDecision logEnded (const GateCall& call, Reason reason, Time now)
+{
+    return { Decision::gateEnded,
+             call.m_request.m_content.m_id,
+             { { "reason", std::string (nameOf (reason)) },
+               { "dispatched", yesOrNo (call.m_isDispatched) },
+               { "begun", yesOrNo (call.m_hasBegun) },
+               { "in_gate_ms", milliseconds (now - call.m_receivedAt) } } };
+}
+
+LogDecision logAnnounced (const OwnTarget& target)
+{
+    return { Decision::targetAnnounced,
+             {},
+             { { "target", target.id() },
+               { "service", target.service() },
+               { "slots", number (target.slots()) },
+               { "state", target.isLeaving() ? "leaving" : "serving" } } };
+}
+
+LogDecision logAdmission (const AdmissionMove& move)
+{
+    return { Decision::admissionMoved,
+             {},
+             { { "admitted_permille", number (move.m_admittedPermille) },
+               { "asked_slot_ms", milliseconds (move.m_asked) },
+               { "capacity_slot_ms", milliseconds (move.m_capacity) },
+               { "queued_slot_ms", milliseconds (move.m_queuedWork) },
+               { "queued", number (move.m_queued) },
+               { "dispatches", number (move.m_dispatches) },
+               { "lost_calls", number (move.m_lostCalls) } } };
+}
+
+} // namespace plankledge::detail
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -1,10 +1,10 @@
 #include "plankledge_policy/relay/gate/TargetGate.h"
 
 #include "plankledge_policy/relay/RequestIds.h"
+#include "plankledge_policy/relay/gate/GateLog.h"
 
 #include <algorithm>
 #include <cstdlib>
-#include <fmt/format.h>
 #include <utility>
 
 namespace plankledge
@@ -78,15 +78,8 @@
 
     if (const auto reason = refusalOf (turn, id, call); reason != Reason::none)
     {
-        turn.emit (LogDecision {
-            Decision::gateRefused,
-            call.m_request.m_content.m_id,
-            { { "reason", std::string (nameOf (reason)) },
-              { "running", fmt::format ("{}", m_running) },
-              { "queued", fmt::format ("{}", m_queue.size()) },
-              { "limit", fmt::format ("{}", limit()) },
-              { "expected_wait_ms", fmt::format ("{}", toMilliseconds (expectedWait (id, call))) },
-              { "time_left_ms", fmt::format ("{}", toMilliseconds (call.m_request.m_timeLeft)) } } });
+        const detail::GateFill fill { m_running, m_queue.size(), limit(), expectedWait (id, call) };
+        turn.emit (detail::logGateRefused (call, reason, fill));
         ++turn.counters().m_refusals[reason];
         countIfLost (turn, call);
         return answer (turn, caller, call.m_request.m_route, refusal (reason));
@@ -179,7 +172,6 @@
 {
     auto& call = m_calls.at (id);
     const auto& request = call.m_request;
-    const auto waited = turn.now() - call.m_receivedAt;
     call.m_isDispatched = true;
     call.m_dispatchedAt = turn.now();
     ++m_running;
@@ -189,11 +181,7 @@
     m_graph.onRequest (request.m_route);
 
     if (isLogged (request.m_content.m_id))
-        turn.emit (LogDecision { Decision::gateDispatched,
-                                 request.m_content.m_id,
-                                 { { "target", m_target.id() },
-                                   { "waited_ms", fmt::format ("{}", toMilliseconds (waited)) },
-                                   { "running", fmt::format ("{}", m_running) } } });
+        turn.emit (detail::logDispatched (call, m_target.id(), m_running));
 
     turn.emit (RelayToTarget { id, request.m_content, request.m_callerService, m_target.id(),
                                m_target.endpoint(), call.m_deadline - turn.now() });
@@ -230,12 +218,7 @@
     learn (call, turn.now(), isFailure);
 
     if (! isWhole)
-        turn.emit (LogDecision {
-            Decision::gateEnded,
-            call.m_request.m_content.m_id,
-            { { "reason", std::string (nameOf (result.m_reason)) },
-              { "target", m_target.id() },
-              { "ran_ms", fmt::format ("{}", toMilliseconds (turn.now() - call.m_dispatchedAt)) } } });
+        turn.emit (detail::logBroken (call, m_target.id(), result.m_reason, turn.now()));
 
     updateOpen (turn);
     answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
@@ -263,12 +246,7 @@
     const auto change = m_target.onAnnounced (announced, turn.now());
 
     if (change != OwnTarget::Change::none)
-        turn.emit (LogDecision { Decision::targetAnnounced,
-                                 {},
-                                 { { "target", announced.m_target },
-                                   { "service", m_target.service() },
-                                   { "slots", fmt::format ("{}", m_target.slots()) },
-                                   { "state", m_target.isLeaving() ? "leaving" : "serving" } } });
+        turn.emit (detail::logAnnounced (m_target));
 
     if (change == OwnTarget::Change::newLife)
     {
@@ -362,15 +340,8 @@
     if (before / logStep == m_level.permille() / logStep)
         return;
 
-    turn.emit (LogDecision { Decision::admissionMoved,
-                             {},
-                             { { "admitted_permille", fmt::format ("{}", m_level.permille()) },
-                               { "asked_slot_ms", fmt::format ("{}", toMilliseconds (asked)) },
-                               { "capacity_slot_ms", fmt::format ("{}", toMilliseconds (capacity)) },
-                               { "queued_slot_ms", fmt::format ("{}", toMilliseconds (m_queuedWork)) },
-                               { "queued", fmt::format ("{}", m_queue.size()) },
-                               { "dispatches", fmt::format ("{}", turn.counters().m_dispatches) },
-                               { "lost_calls", fmt::format ("{}", turn.counters().m_lostCalls) } } });
+    turn.emit (detail::logAdmission ({ m_level.permille(), asked, capacity, m_queuedWork, m_queue.size(),
+                                       turn.counters().m_dispatches, turn.counters().m_lostCalls }));
 }
 
 void TargetGate::stop (Turn& turn)
@@ -428,12 +399,7 @@
 void TargetGate::finish (Turn& turn, CallId id, RelayResult result)
 {
     const auto call = take (turn, id);
-    turn.emit (LogDecision {
-        Decision::gateEnded,
-        call.m_request.m_content.m_id,
-        { { "reason", std::string (nameOf (result.m_reason)) },
-          { "dispatched", call.m_isDispatched ? "yes" : "no" },
-          { "in_gate_ms", fmt::format ("{}", toMilliseconds (turn.now() - call.m_receivedAt)) } } });
+    turn.emit (detail::logEnded (call, result.m_reason, turn.now()));
     ++turn.counters().m_refusals[result.m_reason];
     countIfLost (turn, call);
     answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -4,6 +4,7 @@
 #include "plankledge_policy/relay/RelaySettings.h"
 #include "plankledge_policy/relay/gate/AdmissionLevel.h"
 #include "plankledge_policy/relay/gate/BegunChains.h"
+#include "plankledge_policy/relay/gate/GateCall.h"
 #include "plankledge_policy/relay/gate/OwnTarget.h"
 #include "plankledge_policy/relay/gate/RouteTimes.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
@@ -16,16 +17,6 @@
 namespace plankledge
 {
 
-/** Who waits for the answer of a call at the gate. */
-struct GateCaller
-{
-    LinkId m_link = 0; /**< the connection that the peer opened; 0: this node itself */
-    InstanceName m_instance;
-    CallId m_call = 0;
-
-    auto operator<=> (const GateCaller&) const = default;
-};
-
 //==============================================================================
 /**
     Stands in front of the own target: all requests for it pass here, from every node.
@@ -99,19 +90,7 @@
        others. */
     using QueueKey = std::tuple<bool, std::uint16_t, Time, CallId>;
 
-    struct Call
-    {
-        GateCaller m_caller;
-        RelayRequest m_request;
-        Time m_receivedAt;
-        Time m_chainStartedAt;
-        Time m_deadline;
-        Time m_dispatchedAt;
-        Time m_holdEnd;          /**< it is refused if it has no slot by then */
-        Duration m_slotTime {};  /**< that it is expected to hold a slot */
-        bool m_hasBegun = false; /**< the target has worked for its chain already */
-        bool m_isDispatched = false;
-    };
+    using Call = detail::GateCall;
 
     Call makeCall (Turn& turn, const GateCaller& caller, RelayRequest request) const;
     static QueueKey keyOf (CallId id, const Call& call) noexcept;
