The calls at a node's own target have a table of their own

Two cases of relay_admission share their rig. Ruled out: moving the idempotency records' part out as well; it needs six of the class's own functions and would be a second class in name only.

--- a/modules/plankledge_policy/calls/InboundCalls.cpp
+++ b/modules/plankledge_policy/calls/InboundCalls.cpp
@@ -68,7 +68,7 @@
 //==============================================================================
 void InboundCalls::receive (Turn& turn, const Origin& origin, const CallRequest& request)
 {
-    if (m_byOrigin.contains (origin))
+    if (m_calls.waitedForBy (origin).has_value())
         return; // a peer that numbers two calls alike gets one answer
 
     const auto* service = m_hooks.m_declaration();
@@ -135,8 +135,7 @@
     }
 
     ++turn.counters().m_attached;
-    m_calls.at (record.m_call).m_waiters.push_back (origin);
-    m_byOrigin[origin] = record.m_call;
+    m_calls.attach (record.m_call, origin);
 }
 
 void InboundCalls::startOnce (Turn& turn, const Origin& origin, const CallRequest& request,
@@ -180,9 +179,9 @@
 
 void InboundCalls::onInquiryFinished (Turn& turn, CallId id, Reason reason)
 {
-    const auto found = m_calls.find (id);
+    auto* call = m_calls.find (id);
 
-    if (found == m_calls.end())
+    if (call == nullptr)
         return;
 
     if (reason != Reason::none)
@@ -190,12 +189,12 @@
         ++turn.counters().m_refusals[reason];
         auto result = systemResult (turn, Outcome::unknown, reason);
         result.m_isFinal = true;
-        m_records.erase (found->second.m_key);
+        m_records.erase (call->m_key);
         return finish (turn, id, result);
     }
 
-    m_records.setRunning (found->second.m_key);
-    found->second.m_stage = Stage::queued;
+    m_records.setRunning (call->m_key);
+    call->m_stage = Stage::queued;
     enqueue (turn, id);
 }
 
@@ -227,13 +226,7 @@
     for (const auto& fence : handover.m_fences)
         hashes.insert (fence.m_keyHash);
 
-    std::vector<CallId> asking;
-
-    for (const auto& [id, call] : m_calls)
-        if (call.m_stage == Stage::inquiring && hashes.contains (hashText (call.m_key)))
-            asking.push_back (id);
-
-    for (const auto id : asking)
+    for (const auto id : m_calls.inquiringFor (hashes))
         endInquiry (turn, id);
 
     for (const auto& record : handover.m_records)
@@ -249,8 +242,7 @@
 CallId InboundCalls::addCall (Turn& turn, const Origin& origin, const CallRequest& request,
                               const OperationDeclaration& operation)
 {
-    const auto id = m_nextCall++;
-    auto& call = m_calls[id];
+    Call call;
     call.m_request = request;
     call.m_waiters = { origin };
     call.m_budget = RetryBudget (request.m_retryGrant);
@@ -259,11 +251,9 @@
         operation.m_isRepeatable ? std::string() : scopedKey (request.m_content, request.m_idempotency);
     call.m_retention = retentionOf (turn, operation);
     call.m_deadline = turn.now() + std::min<Duration> (request.m_timeLeft, operation.m_longestWait);
-    call.m_requestId =
-        fmt::format ("{:016x}-{:x}-{:x}", request.m_rootId, m_settings.m_self.m_id.m_incarnation, id);
-    m_byOrigin[origin] = id;
-    m_byRequestId[call.m_requestId] = id;
-    turn.timers().set (call.m_deadline, TimerKind::inboundDeadline, id);
+    const auto deadline = call.m_deadline;
+    const auto id = m_calls.add (std::move (call), m_settings.m_self.m_id.m_incarnation);
+    turn.timers().set (deadline, TimerKind::inboundDeadline, id);
     return id;
 }
 
@@ -304,18 +294,16 @@
 //==============================================================================
 void InboundCalls::onTargetAnswered (Turn& turn, const TargetAnswered& answer)
 {
-    const auto found = m_calls.find (answer.m_call);
+    const auto* call = m_calls.find (answer.m_call);
 
-    if (found == m_calls.end() || found->second.m_stage != Stage::running)
+    if (call == nullptr || call->m_stage != Stage::running)
         return;
 
-    const auto& call = found->second;
-
     if (m_gate.targetState() == TargetState::unreachable)
         m_gate.setTargetState (TargetState::serving);
 
     // A target that sheds before it made any call of its own has not run the request.
-    if (answer.m_status == serviceUnavailable && call.m_children == 0)
+    if (answer.m_status == serviceUnavailable && call->m_children == 0)
     {
         m_admission.onSlotFreed (std::nullopt);
         m_admission.onTargetShed();
@@ -323,24 +311,24 @@
         return dispatchNext (turn);
     }
 
-    m_admission.onSlotFreed (turn.now() - call.m_dispatchedAt);
+    m_admission.onSlotFreed (turn.now() - call->m_dispatchedAt);
 
     CallResult result;
     result.m_outcome = Outcome::completed;
     result.m_status = answer.m_status;
     result.m_contentType = answer.m_contentType;
     result.m_body = answer.m_body;
-    result.m_comeBack = answer.m_status >= 500 ? call.m_childComeBack : Duration::zero();
-    settleRecord (turn, call, result);
+    result.m_comeBack = answer.m_status >= 500 ? call->m_childComeBack : Duration::zero();
+    settleRecord (turn, *call, result);
     finish (turn, answer.m_call, result);
     dispatchNext (turn);
 }
 
 void InboundCalls::onTargetFailed (Turn& turn, const TargetFailed& failure)
 {
-    const auto found = m_calls.find (failure.m_call);
+    const auto* call = m_calls.find (failure.m_call);
 
-    if (found == m_calls.end() || found->second.m_stage != Stage::running)
+    if (call == nullptr || call->m_stage != Stage::running)
         return;
 
     m_admission.onSlotFreed (std::nullopt);
@@ -353,7 +341,7 @@
     }
 
     const auto result = systemResult (turn, Outcome::unknown, Reason::targetBroken);
-    settleRecord (turn, found->second, result);
+    settleRecord (turn, *call, result);
     finish (turn, failure.m_call, result);
     dispatchNext (turn);
 }
@@ -378,27 +366,20 @@
 //==============================================================================
 void InboundCalls::cancel (Turn& turn, const Origin& origin)
 {
-    if (const auto found = m_byOrigin.find (origin); found != m_byOrigin.end())
-        removeWaiter (turn, found->second, origin);
+    if (const auto id = m_calls.waitedForBy (origin); id.has_value())
+        removeWaiter (turn, *id, origin);
 }
 
 void InboundCalls::onLinkClosed (Turn& turn, LinkId link)
 {
-    std::vector<Origin> gone;
-
-    for (auto entry = m_byOrigin.lower_bound ({ link, {}, 0 });
-         entry != m_byOrigin.end() && entry->first.m_link == link; ++entry)
-        gone.push_back (entry->first);
-
-    for (const auto& origin : gone)
+    for (const auto& origin : m_calls.originsOf (link))
         cancel (turn, origin);
 }
 
 void InboundCalls::removeWaiter (Turn& turn, CallId id, const Origin& origin)
 {
-    auto& call = m_calls.at (id);
-    m_byOrigin.erase (origin);
-    std::erase (call.m_waiters, origin);
+    const auto& call = m_calls.at (id);
+    m_calls.detach (id, origin);
 
     if (! call.m_waiters.empty())
         return;
@@ -418,12 +399,12 @@
 
 void InboundCalls::onDeadline (Turn& turn, CallId id)
 {
-    const auto found = m_calls.find (id);
+    const auto* found = m_calls.find (id);
 
-    if (found == m_calls.end() || found->second.m_deadline > turn.now())
+    if (found == nullptr || found->m_deadline > turn.now())
         return;
 
-    auto& call = found->second;
+    const auto& call = *found;
 
     // The baseline goes on with work that nobody waits for any more.
     if (turn.isBaseline() && call.m_isRepeatable)
@@ -442,19 +423,15 @@
         return dispatchNext (turn);
     }
 
-    for (const auto& origin : call.m_waiters)
-    {
-        m_byOrigin.erase (origin);
+    for (const auto& origin : m_calls.detachAll (id))
         answer (turn, origin, call.m_request, result, 0);
-    }
 
-    call.m_waiters.clear();
     turn.timers().set (turn.now() + call.m_retention, TimerKind::inboundAbandon, id);
 }
 
 void InboundCalls::onAbandonTime (Turn& turn, CallId id)
 {
-    if (! m_calls.contains (id))
+    if (m_calls.find (id) == nullptr)
         return;
 
     turn.emit (AbandonTarget { id });
@@ -502,9 +479,7 @@
 
 void InboundCalls::finish (Turn& turn, CallId id, const CallResult& result)
 {
-    auto node = m_calls.extract (id);
-    auto& call = node.mapped();
-    m_byRequestId.erase (call.m_requestId);
+    const auto call = m_calls.take (id);
     turn.timers().cancel (call.m_deadline, TimerKind::inboundDeadline, id);
     m_hooks.m_cancelChildren (turn, id);
 
@@ -512,7 +487,6 @@
 
     for (const auto& origin : call.m_waiters)
     {
-        m_byOrigin.erase (origin);
         answer (turn, origin, call.m_request, result, left);
         left = 0;
     }
@@ -539,14 +513,14 @@
 //==============================================================================
 std::optional<InboundCalls::Parent> InboundCalls::findParent (const std::string& requestId)
 {
-    const auto found = m_byRequestId.find (requestId);
+    const auto id = m_calls.withRequestId (requestId);
 
-    if (found == m_byRequestId.end())
+    if (! id.has_value())
         return std::nullopt;
 
-    auto& call = m_calls.at (found->second);
+    auto& call = m_calls.at (*id);
     ++call.m_children;
-    return Parent { found->second,
+    return Parent { *id,
                     call.m_request.m_rootId,
                     call.m_request.m_rank,
                     call.m_request.m_depth,
@@ -556,16 +530,16 @@
 
 RetryBudget* InboundCalls::findBudget (CallId call)
 {
-    const auto found = m_calls.find (call);
-    return found != m_calls.end() ? &found->second.m_budget : nullptr;
+    auto* found = m_calls.find (call);
+    return found != nullptr ? &found->m_budget : nullptr;
 }
 
 void InboundCalls::onChildEnded (CallId parent, const CallResult& result)
 {
-    const auto found = m_calls.find (parent);
+    auto* found = m_calls.find (parent);
 
-    if (found != m_calls.end() && result.m_outcome != Outcome::completed)
-        found->second.m_childComeBack = std::max (found->second.m_childComeBack, result.m_comeBack);
+    if (found != nullptr && result.m_outcome != Outcome::completed)
+        found->m_childComeBack = std::max (found->m_childComeBack, result.m_comeBack);
 }
 
 } // namespace plankledge
--- a/modules/plankledge_policy/calls/InboundCalls.h
+++ b/modules/plankledge_policy/calls/InboundCalls.h
@@ -3,29 +3,17 @@
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/admission/Admission.h"
 #include "plankledge_policy/admission/ThresholdBook.h"
+#include "plankledge_policy/calls/InboundCallTable.h"
 #include "plankledge_policy/calls/IntakeGate.h"
 #include "plankledge_policy/membership/Membership.h"
 #include "plankledge_policy/once/InquiryBoard.h"
 #include "plankledge_policy/once/RecordTable.h"
-#include "plankledge_policy/retries/RetryBudget.h"
 #include <functional>
-#include <map>
 #include <string>
-#include <vector>
 
 namespace plankledge
 {
 
-/** Who waits for an inbound call: a peer on its link, or this node itself on link 0. */
-struct Origin
-{
-    LinkId m_link = 0;
-    InstanceName m_instance;
-    CallId m_callId = 0;
-
-    auto operator<=> (const Origin&) const = default;
-};
-
 //==============================================================================
 /**
     The calls that this node runs, or refuses to run, at its own target.
@@ -96,7 +84,7 @@
     /** A call that the target made on behalf of another has ended. */
     void onChildEnded (CallId parent, const CallResult& result);
 
-    bool isIdle() const noexcept { return m_calls.empty(); }
+    bool isIdle() const noexcept { return m_calls.isEmpty(); }
     std::size_t size() const noexcept { return m_calls.size(); }
     const Admission& admission() const noexcept { return m_admission; }
     RecordTable& records() noexcept { return m_records; }
@@ -105,29 +93,8 @@
 
 private:
     //==============================================================================
-    enum class Stage : std::uint8_t
-    {
-        inquiring,
-        queued,
-        running
-    };
-
-    struct Call
-    {
-        CallRequest m_request;
-        std::vector<Origin> m_waiters; /**< the first one granted the retry budget */
-        RetryBudget m_budget;
-        Stage m_stage = Stage::queued;
-        bool m_isRepeatable = true;
-        std::string m_key;       /**< scoped by service and operation; empty where repeatable */
-        Duration m_retention {}; /**< of its record */
-        Time m_deadline;
-        Time m_queuedAt;
-        Time m_dispatchedAt;
-        std::uint32_t m_children = 0;
-        Duration m_childComeBack {};
-        std::string m_requestId;
-    };
+    using Call = detail::InboundCall;
+    using Stage = Call::Stage;
 
     void receiveOnce (Turn& turn, const Origin& origin, const CallRequest& request,
                       const OperationDeclaration&);
@@ -157,10 +124,7 @@
     Admission m_admission;
     RecordTable m_records;
     InquiryBoard m_inquiries;
-    std::map<CallId, Call> m_calls;
-    std::map<Origin, CallId> m_byOrigin;
-    std::map<std::string, CallId> m_byRequestId;
-    CallId m_nextCall = 1;
+    detail::InboundCallTable m_calls;
     IntakeGate m_gate;
 };
 
--- a/tests/relay/entry/Admission_test.cpp
+++ b/tests/relay/entry/Admission_test.cpp
@@ -11,6 +11,18 @@
 
 using std::chrono::seconds;
 
+/** An entry and one target of "plans". */
+struct OneTarget : RelayRig
+{
+    explicit OneTarget (std::uint32_t slots)
+    {
+        add ("entry", "web");
+        add ("one", "plans", "zone-a", slots);
+        publish (makeTable (1, { makeRoute ("read", "plans") }));
+        run (Milliseconds (100));
+    }
+};
+
 /** A request "old" runs at "front" and may make calls on "deep", whose target has one slot and takes 50 ms.
  */
 struct OneSlot : RelayRig
@@ -51,11 +63,7 @@
 //==============================================================================
 TEST_CASE ("calls of requests that run go before new ones, and what can't run in time is refused unsent")
 {
-    RelayRig rig;
-    rig.add ("entry", "web");
-    rig.add ("one", "plans", "zone-a", 1);
-    rig.publish (makeTable (1, { makeRoute ("read", "plans") }));
-    rig.run (Milliseconds (100));
+    OneTarget rig (1);
     rig.setTarget ("one", always (TargetReplyKind::answered, Milliseconds (100)));
     std::vector<Ticket> tickets;
 
@@ -133,11 +141,7 @@
 
 TEST_CASE ("what a target rejects at once takes no capacity: nothing is refused at the entry for it")
 {
-    RelayRig rig;
-    rig.add ("entry", "web");
-    rig.add ("one", "plans", "zone-a", 20);
-    rig.publish (makeTable (1, { makeRoute ("read", "plans") }));
-    rig.run (Milliseconds (100));
+    OneTarget rig (20);
     const auto count = std::make_shared<int> (0);
 
     // Half of the requests are rejected at once, the others take 50 ms: ten of twenty slots for 400 a second.
