--- a/tests/platform/nearness_test.py
+++ b/tests/platform/nearness_test.py
@@ -57,6 +57,32 @@
         self.assertIn("RECOVER", lines[1])
         self.assertIn("the floor is 0.5", lines[2])
 
+REPORT = """
+from second          asked  in aim   late refused failed not owed  worth   p50 ms   p99 ms
+30                     500     490      2       8      0        0  0.980    149.3    528.2
+46                     860     235      0     624      1        0  0.430    284.2    700.0
+48                     833     256      1     560     16        0  0.450    284.2    700.0
+50                     167      43      0     120      4        0  0.400    284.2    700.0
+
+what happened
+     0.3 s to     20.3 s  burst
+  32.064 s to   48.964 s  closing (power_off_all) one, two and 10 more
+"""
+
+
+class ReturnTest(unittest.TestCase):
+    def test_rows_from_the_time_by_which_callers_are_to_be_served_again(self):
+        found = nearness.return_of("a day", REPORT)
+        self.assertEqual((found.asked, found.served), (833 + 167, 256 + 1 + 43))
+        self.assertAlmostEqual(found.share, 0.3)
+
+    def test_a_day_without_a_last_fault_has_no_return(self):
+        self.assertIsNone(nearness.return_of("a day", REPORT.replace("closing", "other")))
+
+    def test_the_worst_first(self):
+        returns = [nearness.Return("good", 100, 90), nearness.Return("bad", 100, 30)]
+        self.assertEqual([line.split()[-1] for line in nearness.report_returns(returns, 2)], ["bad", "good"])
+
 
 if __name__ == "__main__":
     unittest.main()
