--- a/modules/plankledge_policy/relay/gate/AdmissionLevel.cpp
+++ b/modules/plankledge_policy/relay/gate/AdmissionLevel.cpp
@@ -29,6 +29,13 @@
 constexpr double largestStepDown = 0.75;
 constexpr double largestStepUp = 1.2;
 
+/** Where so many times more is asked for than can be done, larger steps are made: chains that are begun for
+   nothing cost more than a swing. After a start of all under overload 82 of 285 chains failed below in three
+   seconds, 157 without. */
+constexpr double grossOverload = 2.0;
+constexpr double grossDamping = 0.7;
+constexpr double grossStepDown = 0.5;
+
 /** Something is always admitted, to measure by. */
 constexpr double lowestLevel = 0.05;
 
@@ -45,7 +52,9 @@
     const auto backlog = std::max (0.0, excess) / periodsToDrain;
     const auto wanted = std::max (capacity * wantedLoad - backlog, capacity * lowestLevel);
     const auto asked = std::max (1.0, static_cast<double> (load.m_asked.count()));
-    const auto step = std::clamp (std::pow (wanted / asked, damping), largestStepDown, largestStepUp);
+    const bool isGross = asked > wanted * grossOverload;
+    const auto step = std::clamp (std::pow (wanted / asked, isGross ? grossDamping : damping),
+                                  isGross ? grossStepDown : largestStepDown, largestStepUp);
     m_level = std::clamp (m_level * step, lowestLevel, 1.0);
 }
 
--- a/modules/plankledge_policy/relay/peers/PeerContacts.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.cpp
@@ -20,10 +20,15 @@
 /** A peer to which requests are under way is asked as soon as nothing was heard of it for so long. */
 constexpr Duration quietWithRequests = Milliseconds (200);
 
-/** Calls are learned from each peer after this. They change with the targets' releases and hardly between,
-   but a first overload may come soon after the start. */
+/** Calls are learned from each peer after this. They change with the targets' releases and hardly between. */
 constexpr Duration callsPeriod = std::chrono::seconds (2);
 
+/** The first time they are asked for again after this, then after twice as long, and so on: just after a
+   start a peer has seen none yet, and until they are known nothing is refused for a service that only calls
+   reach. With two seconds from the first time on, 446 of 675 requests failed below in the first three
+   seconds, now 194. */
+constexpr Duration firstCallsPeriod = Milliseconds (200);
+
 /** Between two hellos to a peer that does not answer: as long as a process takes to start again. */
 constexpr Duration askAgainAfter = Milliseconds (700);
 
@@ -116,7 +121,12 @@
 
 bool PeerContacts::areCallsDue (const Peer& peer, Time now) noexcept
 {
-    return now - peer.m_callsAt >= callsPeriod;
+    auto period = firstCallsPeriod;
+
+    for (unsigned heard = 1; heard < peer.m_callsHeard && period < callsPeriod; ++heard)
+        period *= 2;
+
+    return now - peer.m_callsAt >= std::min (period, callsPeriod);
 }
 
 bool PeerContacts::isDue (const Peer& peer, Time now) noexcept
--- a/modules/plankledge_policy/relay/peers/PeerTable.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerTable.cpp
@@ -150,8 +150,13 @@
 
 void PeerTable::onCalls (const InstanceName& instance, Time now)
 {
-    if (auto* peer = find (instance))
-        peer->m_callsAt = now;
+    auto* peer = find (instance);
+
+    if (peer == nullptr)
+        return;
+
+    peer->m_callsAt = now;
+    ++peer->m_callsHeard;
 }
 
 void PeerTable::onAsked (const InstanceName& instance, Time now)
--- a/modules/plankledge_policy/relay/peers/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -23,6 +23,7 @@
     std::map<RouteName, Duration> m_times; /**< of requests of each route at its target, as last heard */
     Time m_gateAt;                         /**< when that was heard */
     Time m_callsAt;                        /**< when the calls seen there were heard */
+    unsigned m_callsHeard = 0;             /**< how often they were */
     Time m_heardAt;                        /**< any frame of its */
     bool m_isHeard = false;                /**< it answered lately */
     std::optional<Time> m_askedAt;         /**< first hello since it was last heard */
--- a/tests/relay/gate/AdmissionLevel_test.cpp
+++ b/tests/relay/gate/AdmissionLevel_test.cpp
@@ -110,6 +110,16 @@
     }
 }
 
+TEST_CASE ("under three times the load the level is where the load fits within a second")
+{
+    Loop loop;
+
+    for (int period = 0; period < std::chrono::seconds (1) / AdmissionLevel::period; ++period)
+        loop.pass (capacity * 3.0);
+
+    CHECK (loop.level() < 0.4);
+}
+
 TEST_CASE ("after the overload all is admitted again within three seconds")
 {
     Loop loop;
--- a/tests/relay/gate/WholeChains_test.cpp
+++ b/tests/relay/gate/WholeChains_test.cpp
@@ -32,6 +32,10 @@
 
     // 950 calls can be done in these three seconds, and each lodge makes eight.
     CHECK (site.lodges().m_served > 950 / 8 / 2);
+
+    // What can't be done is soon refused at the entry, where it may come back, and does not fail below.
+    CHECK (site.lodges().m_failed < site.lodges().m_sent / 2);
+    CHECK (site.searches().m_failed < site.searches().m_sent / 2);
 }
 
 // Before that, in the two seconds after one of three targets had left, 35 of 68 plan corrections were refused
--- a/tests/relay/peers/PeerContacts_test.cpp
+++ b/tests/relay/peers/PeerContacts_test.cpp
@@ -192,6 +192,33 @@
     }
 }
 
+// After a start of all a peer answers the first question about calls with none, since it has seen none yet.
+// Entries asked again after two seconds, and until then they refused nothing for the deepest service: 238 of
+// 630 searches failed there.
+TEST_CASE ("a peer is asked for the calls seen there soon after the first time, then less and less often")
+{
+    View view ("asker", 1, 0);
+    auto& peer = *view.m_peers.find ("own-0");
+    std::vector<Duration> askedAfter;
+    auto now = start;
+    view.m_peers.onCalls ("own-0", now);
+
+    while (askedAfter.size() < 6)
+    {
+        const auto heardAt = now;
+
+        while (! PeerContacts::areCallsDue (peer, now))
+            now += Milliseconds (50);
+
+        askedAfter.push_back (now - heardAt);
+        view.m_peers.onCalls ("own-0", now);
+    }
+
+    CHECK (askedAfter == std::vector<Duration> { Milliseconds (200), Milliseconds (400), Milliseconds (800),
+                                                 Milliseconds (1600), Milliseconds (2000),
+                                                 Milliseconds (2000) });
+}
+
 TEST_CASE ("a service that no request needs any more is dropped")
 {
     View view ("web-1", 5, 0);
