--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -194,6 +194,14 @@
     }
 };
 
+/** The own target started anew: idle connections to it are of no use any more. */
+struct DropTargetConnections
+{
+    auto operator<=> (const DropTargetConnections&) const = default;
+
+    template <class Archive> void serialize (Archive&) {}
+};
+
 /** The store is to hold this of the own node. */
 struct PublishMember
 {
@@ -261,7 +269,8 @@
 
 using Effect = std::variant<AnswerRequest, SendToPeer, ReplyOnLink, SendRumour, DispatchToTarget,
                             AbandonTarget, FetchList, ReadLog, AppendJoin, AppendCheckpoint, WriteLog, Exit,
-                            AnswerRelay, RelayToTarget, PublishMember, WithdrawMember, LogDecision>;
+                            AnswerRelay, RelayToTarget, DropTargetConnections, PublishMember, WithdrawMember,
+                            LogDecision>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -308,12 +308,14 @@
     ServiceName m_service;
     Endpoint m_endpoint;
     std::uint32_t m_slots = 0;
+    std::optional<Duration> m_startedAt {}; /**< since the Unix epoch, by its own clock: a target that starts
+                                               again may keep its id; nullopt: it does not say */
 
     auto operator<=> (const TargetAnnounced&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_target, m_state, m_sequence, m_service, m_endpoint, m_slots);
+        archive (m_target, m_state, m_sequence, m_service, m_endpoint, m_slots, m_startedAt);
     }
 };
 
--- a/modules/plankledge_policy/relay/gate/GateLog.cpp
+++ b/modules/plankledge_policy/relay/gate/GateLog.cpp
@@ -51,6 +51,9 @@
     return { Decision::targetAnnounced,
              {},
              { { "target", target.id() },
+               { "started_at_ms", target.life().m_startedAt.has_value()
+                                      ? milliseconds (*target.life().m_startedAt)
+                                      : std::string() },
                { "service", target.service() },
                { "slots", number (target.slots()) },
                { "state", target.isLeaving() ? "leaving" : "serving" } } };
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -248,17 +248,44 @@
     if (change != OwnTarget::Change::none)
         turn.emit (detail::logAnnounced (m_target));
 
-    if (change == OwnTarget::Change::newLife)
-    {
-        m_serviceTimes.clear();
-        m_slotTimes.clear();
-        m_failures = 0.0;
-    }
+    if (change == OwnTarget::Change::restarted)
+        endRunning (turn);
+
+    if (change == OwnTarget::Change::newLife || change == OwnTarget::Change::restarted)
+        beginLife (turn);
 
     updateOpen (turn);
     dispatchNext (turn);
 }
 
+/** What is learned of a target holds for one life of it. Requests that wait were sent to none, so they stay;
+    so do the chains that have begun, since the answers which they have had are not lost with the target. */
+void TargetGate::beginLife (Turn& turn)
+{
+    m_serviceTimes.clear();
+    m_slotTimes.clear();
+    m_failures = 0.0;
+    m_level = AdmissionLevel();
+    m_shutUntil = Time();
+    turn.emit (DropTargetConnections {});
+    m_hooks.m_onMoved (turn);
+}
+
+/** Ends what runs at a target that has started again: it may have run, and no answer will come. */
+void TargetGate::endRunning (Turn& turn)
+{
+    std::vector<CallId> running;
+
+    for (const auto& [request, id] : m_byRequest)
+        running.push_back (id);
+
+    for (const auto id : running)
+    {
+        turn.emit (AbandonTarget { id });
+        finish (turn, id, { Outcome::unknown, Reason::targetBroken, {}, {} });
+    }
+}
+
 //==============================================================================
 void TargetGate::cancel (Turn& turn, const GateCaller& caller)
 {
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -99,6 +99,8 @@
     Reason refusalOf (Turn& turn, CallId id, const Call& call) const noexcept;
     void dispatchNext (Turn& turn);
     void dispatch (Turn& turn, CallId id);
+    void beginLife (Turn& turn);
+    void endRunning (Turn& turn);
     void refuseQueue (Turn& turn, Reason reason);
     void finish (Turn& turn, CallId id, RelayResult result);
     void answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result);
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -1,39 +1,20 @@
 #include "plankledge_runtime/NodeMetrics.h"
 
+#include "plankledge_runtime/MetricsText.h"
+
 #include <array>
 #include <boost/json.hpp>
-#include <fmt/format.h>
 
 namespace plankledge
 {
 
 namespace accumulators = boost::accumulators;
 namespace json = boost::json;
+using namespace detail;
 
 namespace
 {
 
-void appendGauge (std::string& text, std::string_view name, double value)
-{
-    text += fmt::format ("# TYPE plankledge_{0} gauge\nplankledge_{0} {1}\n", name, value);
-}
-
-void appendCounter (std::string& text, std::string_view name, std::uint64_t value)
-{
-    text += fmt::format ("# TYPE plankledge_{0} counter\nplankledge_{0} {1}\n", name, value);
-}
-
-template <class Enumeration, Enumeration count>
-void appendCounters (std::string& text, std::string_view name,
-                     const Counters::By<Enumeration, count>& counters)
-{
-    text += fmt::format ("# TYPE plankledge_{} counter\n", name);
-
-    for (std::size_t index = 0; index < counters.m_values.size(); ++index)
-        text += fmt::format ("plankledge_{}{{reason=\"{}\"}} {}\n", name,
-                             nameOf (static_cast<Enumeration> (index)), counters.m_values[index]);
-}
-
 std::string_view nameOf (MemberState state) noexcept
 {
     switch (state)
--- a/modules/plankledge_runtime/RelayTargetEdge.h
+++ b/modules/plankledge_runtime/RelayTargetEdge.h
@@ -27,6 +27,7 @@
 
     void carryOut (const RelayToTarget& effect);
     void carryOut (const AbandonTarget& effect) { m_client.abandon (effect.m_call); }
+    void carryOut (const DropTargetConnections&) { m_client.dropIdle(); }
 
 private:
     //==============================================================================
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -270,6 +270,11 @@
     m_implementation->abandon (call);
 }
 
+void TargetClient::dropIdle()
+{
+    m_implementation->m_idle.clear();
+}
+
 std::uint64_t TargetClient::connectionsOpened() const noexcept
 {
     return m_implementation->m_connectionsOpened;
--- a/modules/plankledge_runtime/TargetClient.h
+++ b/modules/plankledge_runtime/TargetClient.h
@@ -50,6 +50,9 @@
     /** Closes the call's connection; its Done is not called any more. */
     void abandon (CallId call);
 
+    /** Closes all connections without a call. */
+    void dropIdle();
+
     /** @returns connections that were opened since the start */
     std::uint64_t connectionsOpened() const noexcept;
 
