Counters of what control costs: calls to the store by cause, bytes between nodes by kind and zone

Cause: what binds on the large deployment is control, and no counter told store calls or bytes apart by what they are for. Conclusion: measures first.

--- a/modules/plankledge_policy/Reducer.h
+++ b/modules/plankledge_policy/Reducer.h
@@ -55,6 +55,7 @@
     bool isDraining() const noexcept { return m_keyed->isDraining(); }
 
     /** The part for relayed requests; only where the node serves them. */
+    bool servesRelayed() const noexcept { return m_relay != nullptr; }
     const RelayDecisions& relay() const noexcept { return *m_relay; }
 
 private:
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -35,6 +35,13 @@
     /** @returns whether callers may be sent to this node */
     bool isReady() const noexcept { return m_routes.isKnown() && ! m_stoppedAt.has_value(); }
 
+    /** @returns whether the instance is known, and in another zone than this node */
+    bool isInOtherZone (const InstanceName& instance) const noexcept
+    {
+        const auto* peer = m_peers.find (instance);
+        return peer != nullptr && peer->m_member.m_zone != m_turn.settings().m_self.m_zone;
+    }
+
     const RouteFollower& routes() const noexcept { return m_routes; }
     const PeerTable& peers() const noexcept { return m_peers; }
     const TargetGate& gate() const noexcept { return m_gate; }
--- /dev/null
+++ b/modules/plankledge_runtime/LinkTraffic.cpp
@@ -0,0 +1,38 @@
+#include "plankledge_runtime/LinkTraffic.h"
+
+#include <array>
+
+namespace plankledge
+{
+
+std::string_view nameOf (FrameKind kind) noexcept
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t> (FrameKind::frameKindCount)> names {
+        "hello", "status", "request", "answer", "cancel", "routes", "members", "keyed"
+    };
+    return names[static_cast<std::size_t> (kind)];
+}
+
+namespace
+{
+
+struct KindOf
+{
+    FrameKind operator() (const PeerHello&) const noexcept { return FrameKind::hello; }
+    FrameKind operator() (const PeerStatus&) const noexcept { return FrameKind::status; }
+    FrameKind operator() (const RelayRequest&) const noexcept { return FrameKind::request; }
+    FrameKind operator() (const RelayAnswer&) const noexcept { return FrameKind::answer; }
+    FrameKind operator() (const RelayCancel&) const noexcept { return FrameKind::cancel; }
+    FrameKind operator() (const RoutesPull&) const noexcept { return FrameKind::routes; }
+    FrameKind operator() (const RoutesText&) const noexcept { return FrameKind::routes; }
+    template <class Other> FrameKind operator() (const Other&) const noexcept { return FrameKind::keyed; }
+};
+
+} // namespace
+
+FrameKind kindOf (const PeerMessage& message) noexcept
+{
+    return std::visit (KindOf(), message);
+}
+
+} // namespace plankledge
--- a/modules/plankledge_runtime/PeerEdge.h
+++ b/modules/plankledge_runtime/PeerEdge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plankledge_runtime/LinkTraffic.h"
 #include "plankledge_runtime/Node.h"
 #include "plankledge_runtime/NodeMetrics.h"
 #include "plankledge_runtime/PeerLinks.h"
@@ -26,8 +27,13 @@
     /** @returns bytes for control since the start, by frames and datagrams */
     ControlTraffic traffic() const noexcept { return { m_links.controlBytes(), m_rumours.bytes(), 0 }; }
 
+    const LinkTraffic& linkTraffic() const noexcept { return m_traffic; }
+
 private:
     //==============================================================================
+    void count (const Node& node, const InstanceName& to, const PeerMessage& message, std::size_t bytes);
+
+    LinkTraffic m_traffic;
     PeerLinks m_links;
     RumourSocket m_rumours;
 };
--- a/modules/plankledge_runtime/PeerLinks.cpp
+++ b/modules/plankledge_runtime/PeerLinks.cpp
@@ -285,6 +285,8 @@
         if (isControl (message))
             m_controlBytes += bytes.size();
 
+        m_hooks.m_onWritten (to, message, bytes.size());
+
         if (link->m_queued.size() + bytes.size() > maximumQueuedBytes)
             return close (*link);
 
--- a/modules/plankledge_runtime/PeerLinks.h
+++ b/modules/plankledge_runtime/PeerLinks.h
@@ -32,6 +32,9 @@
         std::function<void (const InstanceName&)> m_onLost;
         std::function<void (LinkId)> m_onLinkClosed;
         std::function<void (WireError)> m_onBadFrame;
+
+        /** A frame of so many bytes is to be sent to the instance. */
+        std::function<void (const InstanceName&, const PeerMessage&, std::size_t bytes)> m_onWritten;
     };
 
     PeerLinks (boost::asio::io_context& context, const NodeId& self, Hooks hooks);
--- a/tests/platform/Store_test.cpp
+++ b/tests/platform/Store_test.cpp
@@ -48,6 +48,7 @@
     KeyedTopic m_topic { m_context,
                          m_client,
                          topicName,
+                         StoreCall::readMembers,
                          { [this] (const std::vector<KeyedRecord>& records) {
                               for (const auto& record : records)
                                   m_values[record.m_key] = record.m_value;
