A log field owns its name

Cause: the line "traffic" came out with unreadable names: LogField kept a view, and names that are built for the call are gone when the line is written. The names of changed settings after a reload were views into a map that no longer was, too. Ruled out: keeping the prefixes as literals (the same trap stays for the next field). Change: std::string.

--- a/modules/plankledge_core/Logger.h
+++ b/modules/plankledge_core/Logger.h
@@ -22,7 +22,7 @@
 /** One named value of a log line. */
 struct LogField
 {
-    std::string_view m_name;
+    std::string m_name;
     std::string m_value;
 };
 
