Two nodes of each zone follow the store, the others hear from them

Cause: every node waited for every record of two topics, so a start of n nodes cost n calls each. Ruled out: longer waits alone (users' figures: a quarter to a third of the calls, the square stays); a group of the store's own (a call each few seconds for ever); asking the store only where nothing is heard (all ask at once in an outage). Change: StoreFollowers (decision), MemberBook, StoreSync: a node lists members once; the first two of its zone in rendezvous order follow, up to four where the store turns them away; the others ask them for what they lack; who hears no follower for a second follows itself. A record is written once an address, not once a life, and again where it is gone; one of a node that was not heard for 30 s is withdrawn. Reads wait 28 s; keep-alive probes find a connection that fell silent after 3 s. Append answers count, records read back count where the answer was lost. Uncovered: the hello to a quiet peer with requests on their way was put off by any status of it (relay_silence held by the phase of two timers); requests under way are counted now, and looked at each 100 ms. The row of relay_peer_contacts says "requests under way" as before and sets the field of that name.

--- a/modules/plankledge_core/Identity.h
+++ b/modules/plankledge_core/Identity.h
@@ -21,6 +21,9 @@
 /** Names a connection that a peer opened to this node; unique within this process. */
 using LinkId = std::uint64_t;
 
+/** A record's place in a stream of the platform's log or store; -1: before the first. */
+using LogOffset = std::int64_t;
+
 //==============================================================================
 /** One life of a node: a restarted node is a new one, with an empty memory. */
 struct NodeId
--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -177,6 +177,21 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_callId); }
 };
 
+/** What a node has of the platform's store. */
+struct StoreView
+{
+    LogOffset m_membersEnd = -1; /**< it knows all records of members before this one; -1: none */
+    bool m_isFollowing = false;  /**< it reads the store itself, and tells others what it reads */
+    bool m_isReached = true;     /**< false: the store does not answer it */
+
+    auto operator<=> (const StoreView&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_membersEnd, m_isFollowing, m_isReached);
+    }
+};
+
 /** Says who the sender is and how its gate is; answered by PeerStatus. Sent where neither has heard of the
     other's gate lately. */
 struct PeerHello
@@ -186,12 +201,13 @@
     GateStatus m_gate;
     Duration m_sentAt {};        /**< by the sender's steady clock */
     bool m_asksForCalls = false; /**< the answer is to tell the calls that were seen */
+    StoreView m_store;
 
     auto operator<=> (const PeerHello&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_member, m_version, m_gate, m_sentAt, m_asksForCalls);
+        archive (m_member, m_version, m_gate, m_sentAt, m_asksForCalls, m_store);
     }
 };
 
@@ -203,15 +219,39 @@
     GateStatus m_gate;
     std::vector<RouteTime> m_times;               /**< at the own target */
     std::optional<std::vector<CallEdge>> m_calls; /**< seen at the own target; where they were asked for */
+    StoreView m_store;
 
     auto operator<=> (const PeerStatus&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_version, m_gate, m_times, m_calls);
+        archive (m_version, m_gate, m_times, m_calls, m_store);
     }
 };
 
+//==============================================================================
+/** Asks for the members that changed since the asker's view of the store. */
+struct MembersPull
+{
+    LogOffset m_have = -1; /**< the asker's StoreView::m_membersEnd */
+
+    auto operator<=> (const MembersPull&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_have); }
+};
+
+/** Answers MembersPull. */
+struct MembersTold
+{
+    std::vector<Member> m_members;
+    std::vector<InstanceName> m_withdrawn;
+    LogOffset m_end = -1; /**< the teller's StoreView::m_membersEnd */
+
+    auto operator<=> (const MembersTold&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_members, m_withdrawn, m_end); }
+};
+
 //==============================================================================
 /** Asks for the routes in force at the receiver, if they are newer. */
 struct RoutesPull
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -202,6 +202,31 @@
     template <class Archive> void serialize (Archive&) {}
 };
 
+enum class StoreTopic : std::uint8_t
+{
+    members,
+    routes
+};
+
+enum class TopicReading : std::uint8_t
+{
+    once,   /**< listed whole, and no more */
+    follow, /**< read on as records come, until told otherwise */
+    rest
+};
+
+/** How a topic of the store is to be read from now on. */
+struct ReadTopic
+{
+    StoreTopic m_topic = StoreTopic::members;
+    TopicReading m_reading = TopicReading::rest;
+    LogOffset m_from = -1; /**< to follow: all records before this one are known; -1: it is listed first */
+
+    auto operator<=> (const ReadTopic&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_topic, m_reading, m_from); }
+};
+
 /** The store is to hold this of the own node. */
 struct PublishMember
 {
@@ -241,6 +266,8 @@
     routesInForce,
     routesInvalid,
     admissionMoved,
+    storeFollowing,
+    memberPublished,
     decisionCount
 };
 
@@ -267,10 +294,10 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_decision, m_request, m_inputs); }
 };
 
-using Effect = std::variant<AnswerRequest, SendToPeer, ReplyOnLink, SendRumour, DispatchToTarget,
-                            AbandonTarget, FetchList, ReadLog, AppendJoin, AppendCheckpoint, WriteLog, Exit,
-                            AnswerRelay, RelayToTarget, DropTargetConnections, PublishMember, WithdrawMember,
-                            LogDecision>;
+using Effect =
+    std::variant<AnswerRequest, SendToPeer, ReplyOnLink, SendRumour, DispatchToTarget, AbandonTarget,
+                 FetchList, ReadLog, AppendJoin, AppendCheckpoint, WriteLog, Exit, AnswerRelay, RelayToTarget,
+                 DropTargetConnections, ReadTopic, PublishMember, WithdrawMember, LogDecision>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -13,9 +13,6 @@
 /** Names a request that waits for its answer at this node's own caller or outbound address. */
 using Ticket = std::uint64_t;
 
-/** A position in a stream of the platform's log; -1 before the first. */
-using LogOffset = std::int64_t;
-
 //==============================================================================
 /** Time passed; sent when the reducer asked to be woken, and at least every 100 ms. */
 struct TimePassed
@@ -334,17 +331,32 @@
 {
     std::vector<Member> m_members;
     std::vector<InstanceName> m_withdrawn;
+    std::vector<InstanceName> m_unreadable {}; /**< whose newest record says nothing that can be read */
+    LogOffset m_end = -1;                      /**< of the records that are known now; -1: not all are yet */
 
     auto operator<=> (const MembersRead&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_members, m_withdrawn); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_members, m_withdrawn, m_unreadable, m_end);
+    }
+};
+
+/** The store answers again, or no longer does. */
+struct StoreReached
+{
+    bool m_isReached = false;
+
+    auto operator<=> (const StoreReached&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_isReached); }
 };
 
 using EventBody =
     std::variant<TimePassed, RequestReceived, RequesterGone, PeerMessageReceived, PeerUnreachable, PeerLost,
                  LinkClosed, RumourReceived, TargetAnswered, TargetFailed, TargetObserved, ListReceived,
                  ConfigurationRead, JoinsRead, StopRequested, RelayRequestReceived, TargetReply,
-                 TargetAnnounced, RoutesRead, MembersRead>;
+                 TargetAnnounced, RoutesRead, MembersRead, StoreReached>;
 
 //==============================================================================
 struct Event
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -48,6 +48,7 @@
     , m_routes (std::move (parser), [this] { onRoutesInForce(); })
     , m_peers (turn.settings().m_self)
     , m_contacts (turn.settings().m_self)
+    , m_store (turn.settings().m_self, m_peers)
     , m_gate (settings, { [this] (Turn& inner, const RelayAnswer& answer) {
                              m_entry.onAnswer (inner, m_peers.self(), answer);
                          },
@@ -61,7 +62,7 @@
 void RelayDecisions::start()
 {
     const auto now = m_turn.now();
-    m_turn.emit (PublishMember { m_turn.settings().m_self });
+    m_store.start (m_turn);
     m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
     m_turn.timers().set (now + AdmissionLevel::period, TimerKind::admissionPeriod);
     m_turn.timers().set (now + m_turn.jittered (contactPeriod / 2), TimerKind::peerHello);
@@ -72,6 +73,7 @@
 {
     m_peers.onPause (m_turn.now());
     m_entry.onPause (m_turn.now());
+    m_store.onPause (m_turn.now());
 }
 
 void RelayDecisions::onTimer (const TimerQueue::Timer& timer)
@@ -92,6 +94,7 @@
         m_gate.onPeriodEnd (m_turn);
         return m_turn.timers().set (m_turn.now() + AdmissionLevel::period, TimerKind::admissionPeriod);
     case TimerKind::peerHello:
+        m_store.onTick (m_turn, m_routes.isKnown());
         greetDue();
         return m_turn.timers().set (m_turn.now() + contactPeriod, TimerKind::peerHello);
     case TimerKind::relayStop:
@@ -120,6 +123,11 @@
         m_entry.onPeerSilent (m_turn, instance);
     }
 
+    // A silent peer with requests is found within a second: 200 ms quiet, 600 ms unanswered, two windows.
+    for (const auto* peer : m_peers.others())
+        if (PeerContacts::isQuietWithRequests (*peer, now))
+            greet (*peer, false);
+
     m_entry.retryHeld (m_turn);
     m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
 }
@@ -131,20 +139,24 @@
         greetDue();
 }
 
-void RelayDecisions::greet (const Peer& peer)
+void RelayDecisions::greet (const Peer& peer, bool asksForCalls)
 {
     const auto& member = peer.m_member;
     m_peers.onAsked (member.m_id.m_instance, m_turn.now());
     m_turn.emit (SendToPeer { member.m_id.m_instance, member.m_endpoint,
                               PeerHello { m_turn.settings().m_self, m_routes.version(), m_gate.status(),
-                                          m_turn.now().time_since_epoch(),
-                                          PeerContacts::areCallsDue (peer, m_turn.now()) } });
+                                          m_turn.now().time_since_epoch(), asksForCalls, m_store.view() } });
 }
 
 void RelayDecisions::greetDue()
 {
-    for (const auto* peer : m_contacts.due (m_peers, m_turn.now()))
-        greet (*peer);
+    const auto now = m_turn.now();
+
+    for (const auto* peer : m_contacts.due (m_peers, now))
+        greet (*peer, PeerContacts::areCallsDue (*peer, now));
+
+    for (const auto* peer : m_store.due (now, m_routes.isKnown()))
+        greet (*peer, false);
 }
 
 void RelayDecisions::onRoutesInForce()
@@ -161,14 +173,14 @@
     for (std::size_t told = 0; told < toldOfVersion && ! heard.empty(); ++told)
     {
         const auto index = m_turn.random().below (heard.size());
-        greet (*heard[index]);
+        greet (*heard[index], false);
         heard.erase (heard.begin() + static_cast<std::ptrdiff_t> (index));
     }
 }
 
 PeerStatus RelayDecisions::status() const
 {
-    return { m_routes.version(), m_gate.status(), m_gate.routeTimes(), std::nullopt };
+    return { m_routes.version(), m_gate.status(), m_gate.routeTimes(), std::nullopt, m_store.view() };
 }
 
 /** Peers must learn at once that a gate shut, and soon that one opened. */
@@ -203,13 +215,22 @@
 
 void RelayDecisions::handle (const MembersRead& event)
 {
-    for (const auto& instance : event.m_withdrawn)
+    learn (event.m_members, event.m_withdrawn, "store");
+
+    if (m_store.onRead (m_turn, event))
+        tellNews();
+}
+
+void RelayDecisions::learn (const std::vector<Member>& members, const std::vector<InstanceName>& withdrawn,
+                            const std::string& source)
+{
+    for (const auto& instance : withdrawn)
     {
         m_peers.forget (instance);
         m_calls.forget (instance);
     }
 
-    for (const auto& member : event.m_members)
+    for (const auto& member : members)
     {
         if (! m_peers.learn (member, PeerTable::Source::store))
             continue;
@@ -219,12 +240,21 @@
                                    { { "peer", member.m_id.m_instance },
                                      { "service", member.m_service },
                                      { "zone", member.m_zone },
-                                     { "source", "store" } } });
+                                     { "source", source } } });
     }
 
+    m_store.onTick (m_turn, m_routes.isKnown());
     greetDue();
 }
 
+/** Nodes of the own zone hear at once that there is more of the store; they ask for what they lack. */
+void RelayDecisions::tellNews()
+{
+    for (const auto* peer : m_peers.ofZone (m_turn.settings().m_self.m_zone))
+        if (peer->m_inboundLink != 0)
+            m_turn.emit (ReplyOnLink { peer->m_inboundLink, peer->m_member.m_id.m_instance, status() });
+}
+
 void RelayDecisions::handle (const LinkClosed& event)
 {
     m_peers.onLinkClosed (event.m_link);
@@ -289,10 +319,11 @@
 
     // The peer may know an earlier life of this node: it is told of this one over a connection of its own.
     if (m_peers.onInboundLink (from.m_instance, link))
-        greet (*m_peers.find (from.m_instance));
+        greet (*m_peers.find (from.m_instance), false);
 
     onGate (from.m_instance, message.m_gate);
     noteVersion (from.m_instance, message.m_version);
+    noteStoreView (from.m_instance, message.m_store);
 }
 
 void RelayDecisions::onMessage (LinkId, const NodeId& from, const PeerStatus& message)
@@ -306,6 +337,15 @@
     m_peers.onRouteTimes (from.m_instance, message.m_times);
     onGate (from.m_instance, message.m_gate);
     noteVersion (from.m_instance, message.m_version);
+    noteStoreView (from.m_instance, message.m_store);
+}
+
+void RelayDecisions::noteStoreView (const InstanceName& peer, const StoreView& view)
+{
+    m_peers.onStoreView (peer, view);
+
+    if (const auto* known = m_peers.find (peer))
+        m_store.onPeerView (m_turn, *known);
 }
 
 void RelayDecisions::onGate (const InstanceName& peer, const GateStatus& gate)
@@ -324,6 +364,17 @@
     m_routes.onText (m_turn, message.m_text, from.m_instance);
 }
 
+void RelayDecisions::onMessage (LinkId link, const NodeId& from, const MembersPull& message)
+{
+    m_turn.emit (ReplyOnLink { link, from.m_instance, m_store.since (message.m_have) });
+}
+
+void RelayDecisions::onMessage (LinkId, const NodeId& from, const MembersTold& message)
+{
+    if (m_store.onTold (m_turn, message))
+        learn (message.m_members, message.m_withdrawn, from.m_instance);
+}
+
 //==============================================================================
 void RelayDecisions::handle (const StopRequested&)
 {
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -3,6 +3,7 @@
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/entry/RelayEntry.h"
 #include "plankledge_policy/relay/peers/PeerContacts.h"
+#include "plankledge_policy/relay/store/StoreSync.h"
 
 namespace plankledge
 {
@@ -57,6 +58,7 @@
     void handle (const PeerUnreachable& event);
     void handle (const PeerLost& event);
     void handle (const MembersRead& event);
+    void handle (const StoreReached& event) { m_store.onReached (event, m_turn.now()); }
     void handle (const StopRequested& event);
 
     /** Something was heard from a peer, whatever it was. */
@@ -69,13 +71,19 @@
     void onMessage (LinkId link, const NodeId& from, const PeerStatus& message);
     void onMessage (LinkId link, const NodeId& from, const RoutesPull& message);
     void onMessage (LinkId link, const NodeId& from, const RoutesText& message);
+    void onMessage (LinkId link, const NodeId& from, const MembersPull& message);
+    void onMessage (LinkId link, const NodeId& from, const MembersTold& message);
 
 private:
     //==============================================================================
     void onWindowEnd();
     void onStopTime();
     void need (const ServiceName& service);
-    void greet (const Peer& peer);
+    void greet (const Peer& peer, bool asksForCalls);
+    void learn (const std::vector<Member>& members, const std::vector<InstanceName>& withdrawn,
+                const std::string& source);
+    void tellNews();
+    void noteStoreView (const InstanceName& peer, const StoreView& view);
     void greetDue();
     void onRoutesInForce();
     void onGateMoved();
@@ -89,6 +97,7 @@
     RouteFollower m_routes;
     PeerTable m_peers;
     PeerContacts m_contacts;
+    StoreSync m_store;
     CallGraph m_calls;
     TargetGate m_gate;
     RelayEntry m_entry;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -245,6 +245,7 @@
 void RelayEntry::detach (Request& request)
 {
     m_byCall.erase (request.m_call);
+    m_parts.m_peers.onEnded (request.m_instance);
     request.m_instance.clear();
     request.m_call = 0;
 }
--- a/modules/plankledge_policy/relay/peers/PeerContacts.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.cpp
@@ -129,12 +129,17 @@
     return now - peer.m_callsAt >= std::min (period, callsPeriod);
 }
 
+bool PeerContacts::isQuietWithRequests (const Peer& peer, Time now) noexcept
+{
+    return ! peer.m_askedAt.has_value() && peer.m_underWay > 0 && now - peer.m_heardAt >= quietWithRequests;
+}
+
 bool PeerContacts::isDue (const Peer& peer, Time now) noexcept
 {
     if (peer.m_askedAt.has_value())
         return now - peer.m_lastAskedAt >= askAgainAfter;
 
-    if (peer.m_sentSince > 0 && now - peer.m_heardAt >= quietWithRequests)
+    if (isQuietWithRequests (peer, now))
         return true;
 
     return now - peer.m_gateAt >= freshFor || areCallsDue (peer, now);
--- a/modules/plankledge_policy/relay/peers/PeerContacts.h
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.h
@@ -50,6 +50,9 @@
 
     static bool isDue (const Peer& peer, Time now) noexcept;
 
+    /** @returns whether requests are under way at the peer and nothing was heard of it lately, nor asked */
+    static bool isQuietWithRequests (const Peer& peer, Time now) noexcept;
+
     /** @returns whether the peer is to be asked for the calls that were seen there */
     static bool areCallsDue (const Peer& peer, Time now) noexcept;
 
--- a/modules/plankledge_policy/relay/peers/PeerTable.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerTable.cpp
@@ -34,11 +34,27 @@
 void PeerTable::index()
 {
     m_byService.clear();
+    m_byZone.clear();
 
     for (auto& [instance, peer] : m_peers)
+    {
         m_byService[peer.m_member.m_service].push_back (&peer);
+        m_byZone[peer.m_member.m_zone].push_back (&peer);
+    }
+}
+
+namespace
+{
+
+/** A node's record stays in the store for its later lives, which differ from it only in the incarnation. */
+bool isEarlierLife (const Member& member, const Peer& known) noexcept
+{
+    return known.m_member.m_endpoint == member.m_endpoint && known.m_member.m_service == member.m_service &&
+           known.m_member.m_zone == member.m_zone && known.m_member.m_id > member.m_id;
 }
 
+} // namespace
+
 bool PeerTable::learn (const Member& member, Source source)
 {
     const auto& instance = member.m_id.m_instance;
@@ -57,7 +73,8 @@
 
     auto& peer = m_peers[instance];
 
-    if (peer.m_member == member || (source == Source::store && peer.m_isHeard))
+    if (peer.m_member == member ||
+        (source == Source::store && (peer.m_isHeard || isEarlierLife (member, peer))))
         return false;
 
     const bool isSameLife =
@@ -121,6 +138,16 @@
         peer->m_workSince += peer->timeOf (route);
 
     ++peer->m_sentSince;
+    ++peer->m_underWay;
+}
+
+void PeerTable::onEnded (const InstanceName& instance)
+{
+    auto* peer = find (instance);
+
+    // A peer that started again meanwhile has none of them.
+    if (peer != nullptr && peer->m_underWay > 0)
+        --peer->m_underWay;
 }
 
 void PeerTable::onRouteTime (const InstanceName& instance, const RouteTime& time)
@@ -148,6 +175,12 @@
     return peer != nullptr && instance != m_self && std::exchange (peer->m_isHeard, false);
 }
 
+void PeerTable::onStoreView (const InstanceName& instance, const StoreView& view)
+{
+    if (auto* peer = find (instance))
+        peer->m_store = view;
+}
+
 void PeerTable::onCalls (const InstanceName& instance, Time now)
 {
     auto* peer = find (instance);
@@ -247,6 +280,12 @@
     return found == m_byService.end() ? m_none : found->second;
 }
 
+const std::vector<Peer*>& PeerTable::ofZone (const ZoneName& zone) const
+{
+    const auto found = m_byZone.find (zone);
+    return found == m_byZone.end() ? m_none : found->second;
+}
+
 std::vector<const Peer*> PeerTable::others() const
 {
     std::vector<const Peer*> result;
--- a/modules/plankledge_policy/relay/peers/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -19,6 +19,7 @@
     Member m_member;
     GateStatus m_gate;                     /**< as last heard */
     std::uint32_t m_sentSince = 0;         /**< requests sent there since the gate's status was heard */
+    std::uint32_t m_underWay = 0;          /**< requests sent there that have not ended */
     Duration m_workSince {};               /**< slot time that these are expected to take */
     std::map<RouteName, Duration> m_times; /**< of requests of each route at its target, as last heard */
     Time m_gateAt;                         /**< when that was heard */
@@ -30,6 +31,7 @@
     Time m_lastAskedAt;                    /**< newest hello */
     LinkId m_inboundLink = 0;              /**< the connection that it opened to this node; 0: none known */
     LinkClock m_clock;
+    StoreView m_store; /**< what it has of the store, as last heard */
 
     /** @returns requests that run or wait there, by what is known */
     std::uint32_t load() const noexcept { return m_gate.m_inGate + m_sentSince; }
@@ -85,12 +87,18 @@
     bool onGate (const InstanceName& instance, const GateStatus& gate, Time now);
     void onSent (const InstanceName& instance, const RouteName& route);
 
+    /** A request that was sent there is there no more, for whatever reason. */
+    void onEnded (const InstanceName& instance);
+
     /** A peer told how long requests of a route take at its target. */
     void onRouteTime (const InstanceName& instance, const RouteTime& time);
 
     /** The same for all routes that its target has run lately; others are not known any more. */
     void onRouteTimes (const InstanceName& instance, const std::vector<RouteTime>& times);
 
+    /** The peer told what it has of the store. */
+    void onStoreView (const InstanceName& instance, const StoreView& view);
+
     /** The peer told the calls that were seen there. */
     void onCalls (const InstanceName& instance, Time now);
 
@@ -125,6 +133,9 @@
     /** @returns all nodes of the service, in the order of their names */
     const std::vector<Peer*>& ofService (const ServiceName& service) const;
 
+    /** @returns all nodes of the zone, this one included where it is of it, in the order of their names */
+    const std::vector<Peer*>& ofZone (const ZoneName& zone) const;
+
     /** @returns all nodes but this one */
     std::vector<const Peer*> others() const;
 
@@ -138,6 +149,7 @@
     const InstanceName m_self;
     std::map<InstanceName, Peer> m_peers;
     std::map<ServiceName, std::vector<Peer*>> m_byService;
+    std::map<ZoneName, std::vector<Peer*>> m_byZone;
     std::vector<Peer*> m_none;
 };
 
--- /dev/null
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -0,0 +1,230 @@
+#include "plankledge_policy/relay/store/StoreSync.h"
+
+#include <algorithm>
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** A node that has just started waits so long for the routes of its followers before it asks the store: a
+    hello and its answer, where the first one came before the follower was up. */
+constexpr Duration patienceForRoutes = Milliseconds (400);
+
+/** Between two times that it asks; doubles up to the longest. */
+constexpr Duration firstRoutesPause = std::chrono::seconds (1);
+constexpr Duration longestRoutesPause = std::chrono::seconds (8);
+
+/** A pull that was not answered by then goes to the next peer that has more. */
+constexpr Duration pullPatience = Milliseconds (200);
+
+/** Followers are asked so often by the nodes that hear from them: news is told at once, so this only has to
+   find a silent one within the time in which a change must be in force. */
+constexpr Duration followerPeriod = std::chrono::seconds (1);
+
+/** Between two hellos to a follower that does not answer; sooner while this node has nothing to go by. */
+constexpr Duration askAgainAfter = Milliseconds (700);
+constexpr Duration askAgainWithoutRoutes = Milliseconds (150);
+
+} // namespace
+
+//==============================================================================
+StoreSync::StoreSync (const Member& self, PeerTable& peers)
+    : m_self (self)
+    , m_peers (peers)
+    , m_followers (self)
+    , m_routesPause (firstRoutesPause)
+{
+}
+
+void StoreSync::start (Turn& turn)
+{
+    m_followerSeenAt = turn.now();
+    m_readerSeenAt = turn.now();
+    m_routesAt = turn.now() + patienceForRoutes;
+    turn.emit (ReadTopic { StoreTopic::members, TopicReading::once, -1 });
+}
+
+//==============================================================================
+void StoreSync::onTick (Turn& turn, bool areRoutesKnown)
+{
+    m_isReached = ! m_lostSince.has_value() || turn.now() - *m_lostSince <= patience;
+    m_chosen = m_followers.choose (m_peers, m_isReached, turn.now());
+    noteFollowers (turn.now());
+
+    // Before the members are known every node looks like the only one.
+    const bool isChosen = m_chosen.m_isSelf && m_book.end() >= 0;
+    setFollowing (turn, isChosen || isIsolated (turn.now()), isChosen ? "chosen" : "alone");
+    readRoutesOnce (turn, areRoutesKnown);
+    withdrawDead (turn);
+}
+
+void StoreSync::noteFollowers (Time now)
+{
+    if (m_isFollowing && m_isReached)
+        m_readerSeenAt = now;
+
+    for (const auto* peer : m_chosen.m_others)
+    {
+        if (! peer->m_isHeard || ! peer->m_store.m_isFollowing)
+            continue;
+
+        m_followerSeenAt = now;
+        m_readerSeenAt = peer->m_store.m_isReached ? now : m_readerSeenAt;
+    }
+}
+
+void StoreSync::setFollowing (Turn& turn, bool isFollowing, const char* reason)
+{
+    if (isFollowing == m_isFollowing)
+        return;
+
+    m_isFollowing = isFollowing;
+    m_lostSince.reset();
+    const auto reading = isFollowing ? TopicReading::follow : TopicReading::rest;
+    turn.emit (ReadTopic { StoreTopic::members, reading, m_book.end() });
+    turn.emit (ReadTopic { StoreTopic::routes, reading, -1 });
+    turn.emit (LogDecision {
+        Decision::storeFollowing,
+        {},
+        { { "follows", isFollowing ? "yes" : "no" }, { "reason", isFollowing ? reason : "others do" } } });
+}
+
+void StoreSync::readRoutesOnce (Turn& turn, bool areRoutesKnown)
+{
+    if (areRoutesKnown || m_isFollowing || turn.now() < m_routesAt)
+        return;
+
+    m_routesAt = turn.now() + m_routesPause;
+    m_routesPause = std::min (m_routesPause * 2, longestRoutesPause);
+    turn.emit (ReadTopic { StoreTopic::routes, TopicReading::once, -1 });
+}
+
+void StoreSync::onPause (Time now)
+{
+    m_followerSeenAt = now;
+    m_readerSeenAt = now;
+    m_unheardSince.clear();
+}
+
+//==============================================================================
+void StoreSync::onReached (const StoreReached& event, Time now)
+{
+    if (event.m_isReached)
+        m_lostSince.reset();
+    else if (! m_lostSince.has_value())
+        m_lostSince = now;
+}
+
+bool StoreSync::onRead (Turn& turn, const MembersRead& read)
+{
+    const auto before = m_book.end();
+    m_book.take (read);
+    keepOwnRecord (turn, read);
+    return m_book.end() > before;
+}
+
+bool StoreSync::onTold (Turn& turn, const MembersTold& told)
+{
+    if (told.m_end <= m_book.end())
+        return false;
+
+    // What was listed so far is told whole.
+    if (m_book.end() < 0 && ! m_isFollowing)
+        turn.emit (ReadTopic { StoreTopic::members, TopicReading::rest, -1 });
+
+    const MembersRead read { told.m_members, told.m_withdrawn, {}, told.m_end };
+    m_book.take (read);
+    keepOwnRecord (turn, read);
+    return true;
+}
+
+void StoreSync::onPeerView (Turn& turn, const Peer& peer)
+{
+    if (peer.m_store.m_membersEnd <= m_book.end() || turn.now() - m_pulledAt < pullPatience)
+        return;
+
+    // Bytes between zones are dear, and each zone has nodes that read the store, unless it turns them away.
+    const bool isNear = peer.m_member.m_zone == m_self.m_zone || m_book.end() < 0;
+
+    if (! isNear && turn.now() - m_readerSeenAt <= patience)
+        return;
+
+    m_pulledAt = turn.now();
+    turn.emit (
+        SendToPeer { peer.m_member.m_id.m_instance, peer.m_member.m_endpoint, MembersPull { m_book.end() } });
+}
+
+std::vector<const Peer*> StoreSync::due (Time now, bool areRoutesKnown) const
+{
+    std::vector<const Peer*> result;
+    const auto again = areRoutesKnown ? askAgainAfter : askAgainWithoutRoutes;
+
+    for (const auto* peer : m_chosen.m_others)
+    {
+        const bool isDue = peer->m_askedAt.has_value() ? now - peer->m_lastAskedAt >= again
+                                                       : now - peer->m_gateAt >= followerPeriod;
+
+        if (isDue)
+            result.push_back (peer);
+    }
+
+    return result;
+}
+
+//==============================================================================
+/** Writes the own record where the store has none, once; then only where it is told that it is gone. */
+void StoreSync::keepOwnRecord (Turn& turn, const MembersRead& read)
+{
+    const auto isSelf = [this] (const InstanceName& instance) { return instance == m_self.m_id.m_instance; };
+    const bool isGone = std::any_of (read.m_withdrawn.begin(), read.m_withdrawn.end(), isSelf) ||
+                        std::any_of (read.m_unreadable.begin(), read.m_unreadable.end(), isSelf);
+    const bool isOther =
+        std::any_of (read.m_members.begin(), read.m_members.end(), [&] (const Member& member) {
+            return isSelf (member.m_id.m_instance) && ! m_book.names (m_self);
+        });
+
+    if (m_book.end() < 0 || (m_isPublished && ! isGone && ! isOther))
+        return;
+
+    m_isPublished = true;
+
+    if (! isGone && m_book.names (m_self))
+        return;
+
+    turn.emit (PublishMember { m_self });
+    turn.emit (LogDecision { Decision::memberPublished,
+                             {},
+                             { { "reason", isGone    ? "gone"
+                                           : isOther ? "another address"
+                                                     : "none there" } } });
+}
+
+/** Without this, nodes that lost power for good would stay in the store, and be asked for ever. */
+void StoreSync::withdrawDead (Turn& turn)
+{
+    if (! m_chosen.m_isFirst || ! m_isFollowing || ! m_isReached)
+        return m_unheardSince.clear();
+
+    for (const auto* peer : m_peers.ofZone (m_self.m_zone))
+    {
+        const auto& instance = peer->m_member.m_id.m_instance;
+
+        if (peer->m_isHeard || instance == m_self.m_id.m_instance)
+        {
+            m_unheardSince.erase (instance);
+            continue;
+        }
+
+        auto& since = m_unheardSince.try_emplace (instance, turn.now()).first->second;
+
+        if (turn.now() - since <= withdrawnAfter)
+            continue;
+
+        since = turn.now();
+        turn.emit (WithdrawMember { instance });
+    }
+}
+
+} // namespace plankledge
--- a/modules/plankledge_runtime/HttpClient.cpp
+++ b/modules/plankledge_runtime/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <netinet/tcp.h>
 
 namespace plankledge
 {
@@ -28,6 +29,24 @@
 /** A connection that is not up by then won't come: a lost opening packet is sent again after a second. */
 constexpr Duration connectLimit = Milliseconds (1500);
 
+/** Probes of a connection on which nothing is said: a peer without power or behind a cut never resets it.
+   With these figures a read that waits notices after 3 s. */
+constexpr int idleBeforeProbeSeconds = 1;
+constexpr int betweenProbesSeconds = 1;
+constexpr int unansweredProbes = 2;
+
+void detectSilence (tcp::socket& socket)
+{
+    using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    boost::system::error_code ignored;
+    socket.set_option (asio::socket_base::keep_alive (true), ignored);
+    socket.set_option (Idle (idleBeforeProbeSeconds), ignored);
+    socket.set_option (Interval (betweenProbesSeconds), ignored);
+    socket.set_option (Count (unansweredProbes), ignored);
+}
+
 absl::Status toStatus (const beast::error_code& error)
 {
     if (error == beast::error::timeout)
@@ -52,6 +71,7 @@
     if (connectError)
         co_return done (absl::UnavailableError (connectError.message()));
 
+    detectSilence (stream.socket());
     stream.expires_after (timeout);
     auto message = toMessage (std::move (request), endpoint);
     message.keep_alive (false);
--- a/modules/plankledge_runtime/LinkTraffic.cpp
+++ b/modules/plankledge_runtime/LinkTraffic.cpp
@@ -25,6 +25,8 @@
     FrameKind operator() (const RelayCancel&) const noexcept { return FrameKind::cancel; }
     FrameKind operator() (const RoutesPull&) const noexcept { return FrameKind::routes; }
     FrameKind operator() (const RoutesText&) const noexcept { return FrameKind::routes; }
+    FrameKind operator() (const MembersPull&) const noexcept { return FrameKind::members; }
+    FrameKind operator() (const MembersTold&) const noexcept { return FrameKind::members; }
     template <class Other> FrameKind operator() (const Other&) const noexcept { return FrameKind::keyed; }
 };
 
--- a/modules/plankledge_runtime/NoticeLog.cpp
+++ b/modules/plankledge_runtime/NoticeLog.cpp
@@ -62,10 +62,10 @@
 std::string_view nameOf (Decision decision) noexcept
 {
     constexpr std::array<std::string_view, static_cast<std::size_t> (Decision::decisionCount)> names {
-        "request-sent",     "request-sent-again", "request-answered", "request-refused",
-        "request-given-up", "request-cancelled",  "gate-dispatched",  "gate-refused",
-        "gate-ended",       "target-announced",   "peer-found",       "peer-lost",
-        "peer-regained",    "routes-in-force",    "routes-invalid",   "admission-moved"
+        "request-sent",      "request-sent-again", "request-answered", "request-refused", "request-given-up",
+        "request-cancelled", "gate-dispatched",    "gate-refused",     "gate-ended",      "target-announced",
+        "peer-found",        "peer-lost",          "peer-regained",    "routes-in-force", "routes-invalid",
+        "admission-moved",   "store-following",    "member-published"
     };
     return names.at (static_cast<std::size_t> (decision));
 }
--- a/tests/platform/Store_test.cpp
+++ b/tests/platform/Store_test.cpp
@@ -21,7 +21,7 @@
 /** Follows a topic of the stand-in and remembers what it was told. */
 struct Follower
 {
-    Follower() { m_topic.start(); }
+    Follower() { m_topic.follow (-1); }
 
     /** Runs until the condition holds, or in vain. */
     bool runUntil (const std::function<bool()>& condition)
@@ -48,9 +48,9 @@
     KeyedTopic m_topic { m_context,
                          m_client,
                          topicName,
-                         StoreCall::readMembers,
-                         { [this] (const std::vector<KeyedRecord>& records) {
-                              for (const auto& record : records)
+                         {},
+                         { [this] (const KeyedPage& page, LogOffset) {
+                              for (const auto& record : page.m_records)
                                   m_values[record.m_key] = record.m_value;
                           },
                            [this] (const absl::Status& status) { ++(status.ok() ? m_regained : m_lost); } } };
@@ -140,7 +140,6 @@
     const auto runFor = [&] (std::chrono::milliseconds time) { context.run_for (time); };
     store.setFault (StoreStandin::Fault::answersLost);
     node.start();
-    edge.start();
     runFor (std::chrono::milliseconds (500));
     CHECK_FALSE (store.newest ("keyed.nodes", "node-1").empty());
 
@@ -178,10 +177,7 @@
         CHECK (cut.ok() == isBetweenRecords);
     }
 
-    const char* const badListings[] = { "",
-                                        "[]",
-                                        "{}",
-                                        R"({"items":{},"endKey":1})",
+    const char* const badListings[] = { "", "[]", "{}", R"({"items":{},"endKey":1})",
                                         R"({"items":[],"endKey":"1"})" };
 
     for (const auto* text : badListings)
@@ -204,8 +200,9 @@
     for (const auto* item : badItems)
     {
         CAPTURE (item);
-        const auto page = decodeListing (std::string (R"({"items":[{"tlsKey":"a","value":"eA==","offset":1},)") +
-                                         item + R"(,{"tlsKey":"c","value":"eQ==","offset":3}],"endKey":4})");
+        const auto page =
+            decodeListing (std::string (R"({"items":[{"tlsKey":"a","value":"eA==","offset":1},)") + item +
+                           R"(,{"tlsKey":"c","value":"eQ==","offset":3}],"endKey":4})");
         REQUIRE (page.ok());
         REQUIRE (page->m_records.size() == 2);
         CHECK (page->m_records[0] == KeyedRecord { 1, "a", "x" });
--- a/tests/relay/peers/PeerContacts_test.cpp
+++ b/tests/relay/peers/PeerContacts_test.cpp
@@ -180,7 +180,7 @@
         peer.m_gateAt = now - Milliseconds (row.m_gate);
         peer.m_heardAt = now - Milliseconds (row.m_heard);
         peer.m_callsAt = now;
-        peer.m_sentSince = row.m_underWay;
+        peer.m_underWay = row.m_underWay;
 
         if (row.m_asked > 0)
         {
--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -38,11 +38,26 @@
 
 void RelayRig::add (const InstanceName& instance, const ServiceName& service, const ZoneName& zone,
                     std::uint32_t slots)
+{
+    addUntold (instance, service, zone, slots);
+
+    for (const auto& [name, other] : m_hosts)
+        if (other.m_isAlive)
+            apply (name, MembersRead { m_members, {} });
+}
+
+void RelayRig::addUntold (const InstanceName& instance, const ServiceName& service, const ZoneName& zone,
+                          std::uint32_t slots)
 {
     auto& host = m_hosts[instance];
     const auto number = static_cast<unsigned> (m_hosts.size());
     host.m_settings.m_self = {
-        { instance, 1 }, service, zone, { "10.0.0." + std::to_string (number), 7000 }, MemberState::serving, 0
+        { instance, 1 },
+        service,
+        zone,
+        { "10.0." + std::to_string (number / 250) + "." + std::to_string (number % 250), 7000 },
+        MemberState::serving,
+        0
     };
     host.m_settings.m_seed = number;
     host.m_slots = slots;
@@ -52,10 +67,6 @@
     m_members.push_back (host.m_settings.m_self);
     start (instance);
     announce (instance);
-
-    for (const auto& [name, other] : m_hosts)
-        if (other.m_isAlive)
-            apply (name, MembersRead { m_members, {} });
 }
 
 void RelayRig::start (const InstanceName& instance)
@@ -136,14 +147,20 @@
 
 void RelayRig::publish (const RouteTable& routes)
 {
-    m_published = "version " + std::to_string (routes.version());
-    m_tables[m_published] = routes;
+    m_published = nameRoutes (routes);
 
     for (const auto& [instance, host] : m_hosts)
         if (host.m_isAlive)
             apply (instance, RoutesRead { m_published });
 }
 
+std::string RelayRig::nameRoutes (const RouteTable& routes)
+{
+    const auto name = "version " + std::to_string (routes.version());
+    m_tables[name] = routes;
+    return name;
+}
+
 void RelayRig::tell (const InstanceName& instance, EventBody event)
 {
     apply (instance, std::move (event));
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -80,6 +80,17 @@
 
     void setTarget (const InstanceName& instance, TargetBehaviour behaviour);
 
+    /** Takes what nodes want of the store; without, they are told by the rig. */
+    using StoreHook = std::function<void (const InstanceName&, const Effect&)>;
+    void setStore (StoreHook hook) { m_store = std::move (hook); }
+
+    /** Adds a node and starts it without telling it or others anything; its target has announced itself. */
+    void addUntold (const InstanceName& instance, const ServiceName& service, const ZoneName& zone,
+                    std::uint32_t slots);
+
+    /** Gives a version of the routes a name by which a node can be told of it. */
+    std::string nameRoutes (const RouteTable& routes);
+
     /** Gives all nodes a version of the routes, as the store would. */
     void publish (const RouteTable& routes);
     void tell (const InstanceName& instance, EventBody event);
@@ -154,7 +165,16 @@
     {
         ++m_hosts.at (from).m_connectionsDropped;
     }
+    void carryOut (const InstanceName& from, const ReadTopic& effect) { toStore (from, effect); }
+    void carryOut (const InstanceName& from, const PublishMember& effect) { toStore (from, effect); }
+    void carryOut (const InstanceName& from, const WithdrawMember& effect) { toStore (from, effect); }
     template <class Other> void carryOut (const InstanceName&, const Other&) {}
+    void toStore (const InstanceName& from, const Effect& effect)
+    {
+        if (m_store)
+            m_store (from, effect);
+    }
+
     bool isCut (const InstanceName& one, const InstanceName& other) const;
 
     Time m_now { std::chrono::hours (1) };
@@ -171,6 +191,7 @@
     std::map<Ticket, Answer> m_answers;
     std::vector<Run> m_runs;
     std::uint64_t m_hellos = 0;
+    StoreHook m_store;
 };
 
 /** @returns a route to one service, under "/NAME/" */
--- /dev/null
+++ b/tests/support/StoreFleet.cpp
@@ -0,0 +1,226 @@
+#include "support/StoreFleet.h"
+
+#include <algorithm>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+constexpr Duration step = Milliseconds (5);
+constexpr Duration longestWait = Milliseconds (28000);
+constexpr Duration pauseBetweenReads = Milliseconds (200);
+constexpr Duration retryPause = Milliseconds (600);
+constexpr unsigned startsPerStep = 3; // 0.3 s for 194 nodes
+
+} // namespace
+
+//==============================================================================
+StoreFleet::StoreFleet (unsigned nodes, unsigned zones)
+{
+    setStore ([this] (const InstanceName& instance, const Effect& effect) {
+        m_wanted.emplace_back (instance, effect);
+    });
+
+    for (unsigned number = 0; number < nodes; ++number)
+    {
+        m_names.push_back ("node-" + std::to_string (number));
+        addUntold (m_names.back(), number % 5 == 0 ? "plans" : "web",
+                   "zone-" + std::to_string (number % zones), 20);
+
+        if (number % startsPerStep == 0)
+            run (step);
+    }
+}
+
+void StoreFleet::join (const InstanceName& instance, const ZoneName& zone)
+{
+    m_names.push_back (instance);
+    addUntold (instance, "plans", zone, 20);
+}
+
+void StoreFleet::kill (const InstanceName& instance)
+{
+    RelayRig::kill (instance);
+    m_readers.erase ({ instance, StoreTopic::members });
+    m_readers.erase ({ instance, StoreTopic::routes });
+}
+
+void StoreFleet::restart (const InstanceName& instance)
+{
+    kill (instance);
+    start (instance);
+    announce (instance);
+}
+
+void StoreFleet::write (ConfigurationVersion version)
+{
+    m_routes.push_back (
+        nameRoutes (makeTable (version, { makeRoute ("read", "plans"), makeRoute ("page", "web") })));
+}
+
+void StoreFleet::drop (const InstanceName& instance)
+{
+    m_records.emplace_back (instance, std::nullopt);
+}
+
+//==============================================================================
+void StoreFleet::run (Duration duration)
+{
+    const auto end = now() + duration;
+
+    while (now() < end)
+    {
+        RelayRig::run (step);
+
+        for (const auto& [instance, effect] : std::exchange (m_wanted, {}))
+            onEffect (instance, effect);
+
+        readAll();
+    }
+}
+
+void StoreFleet::onEffect (const InstanceName& instance, const Effect& effect)
+{
+    if (const auto* read = std::get_if<ReadTopic> (&effect))
+    {
+        auto& reader = m_readers[{ instance, read->m_topic }];
+        reader.m_reading = read->m_reading;
+        reader.m_next = read->m_reading == TopicReading::once ? -1 : std::max (reader.m_next, read->m_from);
+        reader.m_waitsSince = now();
+    }
+    else if (const auto* publish = std::get_if<PublishMember> (&effect))
+    {
+        append (instance, publish->m_member);
+    }
+    else if (const auto* withdraw = std::get_if<WithdrawMember> (&effect))
+    {
+        append (withdraw->m_instance, std::nullopt);
+    }
+}
+
+void StoreFleet::append (const InstanceName& instance, std::optional<Member> member)
+{
+    ++m_calls;
+    m_records.emplace_back (instance, std::move (member));
+}
+
+bool StoreFleet::isReachable (const InstanceName& instance) const
+{
+    return ! m_isDown && ! m_turnedAway.contains (instance);
+}
+
+LogOffset StoreFleet::endOf (StoreTopic topic) const
+{
+    return static_cast<LogOffset> (topic == StoreTopic::members ? m_records.size() : m_routes.size());
+}
+
+//==============================================================================
+void StoreFleet::readAll()
+{
+    for (auto& [key, reader] : m_readers)
+        readOne (key.first, key.second, reader);
+}
+
+void StoreFleet::readOne (const InstanceName& instance, StoreTopic topic, Reader& reader)
+{
+    if (reader.m_reading == TopicReading::rest || now() < reader.m_notBefore)
+        return;
+
+    if (! isReachable (instance))
+    {
+        ++m_calls;
+        reader.m_notBefore = now() + retryPause;
+
+        if (std::exchange (reader.m_isReached, false) && topic == StoreTopic::members)
+            tell (instance, StoreReached { false });
+
+        return;
+    }
+
+    if (! std::exchange (reader.m_isReached, true) && topic == StoreTopic::members)
+        tell (instance, StoreReached { true });
+
+    const bool hasNews = reader.m_next < 0 || endOf (topic) > reader.m_next;
+
+    if (! hasNews && now() - reader.m_waitsSince < longestWait)
+        return;
+
+    ++m_calls;
+    reader.m_waitsSince = now();
+
+    if (hasNews)
+        answer (instance, topic, reader);
+}
+
+void StoreFleet::answer (const InstanceName& instance, StoreTopic topic, Reader& reader)
+{
+    const auto from = std::exchange (reader.m_next, endOf (topic));
+
+    if (reader.m_reading == TopicReading::once)
+        reader.m_reading = TopicReading::rest;
+
+    if (topic == StoreTopic::routes)
+    {
+        if (! m_routes.empty())
+            tell (instance, RoutesRead { m_routes.back() });
+
+        return;
+    }
+
+    reader.m_notBefore = now() + pauseBetweenReads;
+    std::map<InstanceName, std::optional<Member>> newest;
+
+    for (auto offset = std::max<LogOffset> (0, from); offset < endOf (topic); ++offset)
+        newest[m_records[static_cast<std::size_t> (offset)].first] =
+            m_records[static_cast<std::size_t> (offset)].second;
+
+    MembersRead read;
+    read.m_end = endOf (topic);
+
+    for (const auto& [name, member] : newest)
+    {
+        if (member.has_value())
+            read.m_members.push_back (*member);
+        else
+            read.m_withdrawn.push_back (name);
+    }
+
+    tell (instance, read);
+}
+
+//==============================================================================
+bool StoreFleet::hasRecordOf (const InstanceName& instance) const
+{
+    const auto found = std::find_if (m_records.rbegin(), m_records.rend(),
+                                     [&] (const auto& record) { return record.first == instance; });
+    return found != m_records.rend() && found->second.has_value();
+}
+
+std::vector<InstanceName> StoreFleet::following() const
+{
+    std::vector<InstanceName> result;
+
+    for (const auto& [key, reader] : m_readers)
+        if (key.second == StoreTopic::members && reader.m_reading == TopicReading::follow)
+            result.push_back (key.first);
+
+    return result;
+}
+
+std::size_t StoreFleet::nodesWith (ConfigurationVersion version) const
+{
+    return static_cast<std::size_t> (std::count_if (m_names.begin(), m_names.end(), [&] (const auto& name) {
+        return reducer (name).relay().routes().version() == version;
+    }));
+}
+
+std::size_t StoreFleet::nodesKnowing (const InstanceName& instance) const
+{
+    return static_cast<std::size_t> (std::count_if (m_names.begin(), m_names.end(), [&] (const auto& name) {
+        return reducer (name).relay().peers().find (instance) != nullptr;
+    }));
+}
+
+} // namespace plankledge::test
