One follower of each zone is watchful: a silent store and its return are noticed within 3 s

The kernel acknowledges probes of such a connection, so keep-alive does not find it. Ruled out: short waits for all followers (twice the calls); following by the members' topic alone. Change: the first follower of a zone that the store answers waits 1.5 s for routes; a read after a failure does not wait; once routes are answered again the members' read is made anew.

--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -221,10 +221,15 @@
     StoreTopic m_topic = StoreTopic::members;
     TopicReading m_reading = TopicReading::rest;
     LogOffset m_from = -1; /**< to follow: all records before this one are known; -1: it is listed first */
+    bool m_isWatchful = false; /**< to follow: a store that falls silent is to be noticed, and its return,
+                                  within the time in which a change must be in force */
 
     auto operator<=> (const ReadTopic&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_topic, m_reading, m_from); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_topic, m_reading, m_from, m_isWatchful);
+    }
 };
 
 /** The store is to hold this of the own node. */
--- a/modules/plankledge_policy/relay/store/StoreFollowers.cpp
+++ b/modules/plankledge_policy/relay/store/StoreFollowers.cpp
@@ -57,7 +57,7 @@
         if (isSelf)
         {
             chosen.m_isSelf = true;
-            chosen.m_isFirst = asked == 0;
+            chosen.m_isFirst = served == 0;
         }
         else
         {
--- a/modules/plankledge_policy/relay/store/StoreFollowers.h
+++ b/modules/plankledge_policy/relay/store/StoreFollowers.h
@@ -34,7 +34,7 @@
     struct Chosen
     {
         bool m_isSelf = false;
-        bool m_isFirst = false;            /**< this node, and none before it can be reached */
+        bool m_isFirst = false;            /**< this node, and none before it that the store answers */
         std::vector<const Peer*> m_others; /**< in their order, those that can't be reached included */
     };
 
--- a/modules/plankledge_policy/relay/store/StoreSync.cpp
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -55,7 +55,8 @@
 
     // Before the members are known every node looks like the only one.
     const bool isChosen = m_chosen.m_isSelf && m_book.end() >= 0;
-    setFollowing (turn, isChosen || isIsolated (turn.now()), isChosen ? "chosen" : "alone");
+    const bool isAlone = isIsolated (turn.now());
+    setFollowing (turn, isChosen || isAlone, isAlone || m_chosen.m_isFirst, isChosen ? "chosen" : "alone");
     readRoutesOnce (turn, areRoutesKnown);
     withdrawDead (turn);
 }
@@ -75,16 +76,22 @@
     }
 }
 
-void StoreSync::setFollowing (Turn& turn, bool isFollowing, const char* reason)
+void StoreSync::setFollowing (Turn& turn, bool isFollowing, bool isWatchful, const char* reason)
 {
-    if (isFollowing == m_isFollowing)
+    if (isFollowing == m_isFollowing && (! isFollowing || isWatchful == m_isWatchful))
         return;
 
+    const bool isChange = isFollowing != m_isFollowing;
     m_isFollowing = isFollowing;
-    m_lostSince.reset();
+    m_isWatchful = isWatchful;
     const auto reading = isFollowing ? TopicReading::follow : TopicReading::rest;
-    turn.emit (ReadTopic { StoreTopic::members, reading, m_book.end() });
-    turn.emit (ReadTopic { StoreTopic::routes, reading, -1 });
+    turn.emit (ReadTopic { StoreTopic::members, reading, m_book.end(), false });
+    turn.emit (ReadTopic { StoreTopic::routes, reading, -1, isWatchful });
+
+    if (! isChange)
+        return;
+
+    m_lostSince.reset();
     turn.emit (LogDecision {
         Decision::storeFollowing,
         {},
--- a/modules/plankledge_policy/relay/store/StoreSync.h
+++ b/modules/plankledge_policy/relay/store/StoreSync.h
@@ -72,7 +72,7 @@
 
 private:
     //==============================================================================
-    void setFollowing (Turn& turn, bool isFollowing, const char* reason);
+    void setFollowing (Turn& turn, bool isFollowing, bool isWatchful, const char* reason);
     void noteFollowers (Time now);
     void readRoutesOnce (Turn& turn, bool areRoutesKnown);
     void keepOwnRecord (Turn& turn, const MembersRead& read);
@@ -93,6 +93,7 @@
     Time m_routesAt;           /**< when routes may be asked of the store again */
     Duration m_routesPause {}; /**< until then, the next time */
     bool m_isFollowing = false;
+    bool m_isWatchful = false; /**< while following: for the zone, the other followers need not be */
     bool m_isReached = true;
     bool m_isPublished = false;
 };
--- a/tests/relay/store/StoreFollowers_test.cpp
+++ b/tests/relay/store/StoreFollowers_test.cpp
@@ -117,6 +117,27 @@
     CHECK (fleet.timeUntilInForce (2, seconds (5)) <= seconds (2));
 }
 
+// With reads that wait 28 s and nobody watchful, a version that was written 0.7 s after the store's return
+// was not in force 3 s later.
+TEST_CASE (
+    "a version that is written as the store comes back from a silence is in force everywhere within 3 s")
+{
+    for (const auto silence : { Milliseconds (700), Milliseconds (2100), Milliseconds (8000) })
+    {
+        CAPTURE (silence.count());
+        StartedFleet fleet (60);
+        fleet.run (Milliseconds (1234));
+        fleet.setDown (true);
+        fleet.run (silence);
+        fleet.setDown (false);
+        fleet.write (2);
+        CHECK (fleet.timeUntilInForce (2, seconds (5)) <= Milliseconds (2900));
+        fleet.join ("newcomer", "zone-1");
+        fleet.run (seconds (3));
+        CHECK (fleet.nodesKnowing ("newcomer") == 61);
+    }
+}
+
 TEST_CASE ("a node that joins is known to all within two seconds")
 {
     StartedFleet fleet (100);
--- a/tests/support/StoreFleet.cpp
+++ b/tests/support/StoreFleet.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration step = Milliseconds (5);
 constexpr Duration longestWait = Milliseconds (28000);
+constexpr Duration watchfulWait = Milliseconds (1500);
+constexpr Duration answerLimit = Milliseconds (800);
 constexpr Duration pauseBetweenReads = Milliseconds (200);
 constexpr Duration retryPause = Milliseconds (600);
 constexpr unsigned startsPerStep = 3; // 0.3 s for 194 nodes
@@ -88,7 +90,9 @@
         auto& reader = m_readers[{ instance, read->m_topic }];
         reader.m_reading = read->m_reading;
         reader.m_next = read->m_reading == TopicReading::once ? -1 : std::max (reader.m_next, read->m_from);
-        reader.m_waitsSince = now();
+
+        if (std::exchange (reader.m_isWatchful, read->m_isWatchful) != read->m_isWatchful)
+            reader.m_isWaiting = false;
     }
     else if (const auto* publish = std::get_if<PublishMember> (&effect))
     {
@@ -123,40 +127,67 @@
         readOne (key.first, key.second, reader);
 }
 
+/** A read that waits while the store falls silent is answered neither then nor later: only its time shows it.
+ */
 void StoreFleet::readOne (const InstanceName& instance, StoreTopic topic, Reader& reader)
 {
     if (reader.m_reading == TopicReading::rest || now() < reader.m_notBefore)
         return;
 
-    if (! isReachable (instance))
-    {
-        ++m_calls;
-        reader.m_notBefore = now() + retryPause;
+    if (! reader.m_isWaiting)
+        return call (instance, topic, reader);
 
-        if (std::exchange (reader.m_isReached, false) && topic == StoreTopic::members)
-            tell (instance, StoreReached { false });
+    reader.m_isLost = reader.m_isLost || ! isReachable (instance);
+    const auto limit = (reader.m_isWatchful ? watchfulWait : longestWait) + answerLimit;
 
-        return;
-    }
+    if (reader.m_isLost && now() - reader.m_waitsSince >= limit)
+        return setReached (instance, topic, reader, false);
 
-    if (! std::exchange (reader.m_isReached, true) && topic == StoreTopic::members)
-        tell (instance, StoreReached { true });
+    if (! reader.m_isLost &&
+        (endOf (topic) > reader.m_next || now() - reader.m_waitsSince >= limit - answerLimit))
+        answer (instance, topic, reader);
+}
 
-    const bool hasNews = reader.m_next < 0 || endOf (topic) > reader.m_next;
+void StoreFleet::call (const InstanceName& instance, StoreTopic topic, Reader& reader)
+{
+    ++m_calls;
 
-    if (! hasNews && now() - reader.m_waitsSince < longestWait)
+    if (! isReachable (instance))
+    {
+        setReached (instance, topic, reader, false);
+        reader.m_notBefore = now() + answerLimit + retryPause;
         return;
+    }
 
-    ++m_calls;
+    setReached (instance, topic, reader, true);
+    reader.m_isWaiting = true;
+    reader.m_isLost = false;
     reader.m_waitsSince = now();
 
-    if (hasNews)
+    if (reader.m_next < 0)
         answer (instance, topic, reader);
 }
 
+void StoreFleet::setReached (const InstanceName& instance, StoreTopic topic, Reader& reader, bool isReached)
+{
+    reader.m_isWaiting = reader.m_isWaiting && isReached;
+
+    if (std::exchange (reader.m_isReached, isReached) == isReached || topic != StoreTopic::routes)
+        return;
+
+    if (isReached)
+        m_readers[{ instance, StoreTopic::members }].m_isWaiting = false;
+
+    tell (instance, StoreReached { isReached });
+}
+
 void StoreFleet::answer (const InstanceName& instance, StoreTopic topic, Reader& reader)
 {
     const auto from = std::exchange (reader.m_next, endOf (topic));
+    reader.m_isWaiting = false;
+
+    if (from == endOf (topic))
+        return; // it waited in vain
 
     if (reader.m_reading == TopicReading::once)
         reader.m_reading = TopicReading::rest;
--- a/tests/support/StoreFleet.h
+++ b/tests/support/StoreFleet.h
@@ -59,15 +59,20 @@
     {
         TopicReading m_reading = TopicReading::rest;
         LogOffset m_next = -1; /**< -1: to be listed */
-        Time m_notBefore;
-        Time m_waitsSince;
+        Time m_notBefore;      /**< of the next call */
+        Time m_waitsSince;     /**< of the call that waits */
+        bool m_isWaiting = false;
+        bool m_isLost = false; /**< what it waits for: the store fell silent meanwhile */
         bool m_isReached = true;
+        bool m_isWatchful = false;
     };
 
     void onEffect (const InstanceName& instance, const Effect& effect);
     void append (const InstanceName& instance, std::optional<Member> member);
     void readAll();
     void readOne (const InstanceName& instance, StoreTopic topic, Reader& reader);
+    void call (const InstanceName& instance, StoreTopic topic, Reader& reader);
+    void setReached (const InstanceName& instance, StoreTopic topic, Reader& reader, bool isReached);
     void answer (const InstanceName& instance, StoreTopic topic, Reader& reader);
     bool isReachable (const InstanceName& instance) const;
     LogOffset endOf (StoreTopic topic) const;
