--- a/modules/plankledge_policy/relay/store/StoreSync.cpp
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -8,9 +8,10 @@
 namespace
 {
 
-/** A node that has just started waits so long for the routes of its followers before it asks the store: a
-    hello and its answer, where the first one came before the follower was up. */
-constexpr Duration patienceForRoutes = Milliseconds (400);
+/** A node that has just started waits so long for the routes of its followers before it asks the store: until
+   a hello is answered whose first try came before the follower was up. With 400 ms, as long as the nodes'
+   starts are apart, most of 197 nodes that started together asked the store, too. */
+constexpr Duration patienceForRoutes = Milliseconds (1000);
 
 /** Between two times that it asks; doubles up to the longest. */
 constexpr Duration firstRoutesPause = std::chrono::seconds (1);
