On the first start of all nodes each writes its record first and lists the others later, or is told of them

Ruled out: the same pause at every start (a node that starts again while others serve must be in at once). Change: the platform's setting that says so (first_start) puts the listing off by 0.7 to 1.4 s; whoever was told the members by then need not list.

--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -62,7 +62,7 @@
 void RelayDecisions::start()
 {
     const auto now = m_turn.now();
-    m_store.start (m_turn);
+    m_store.start (m_turn, m_settings.m_isFirstStart);
     m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
     m_turn.timers().set (now + AdmissionLevel::period, TimerKind::admissionPeriod);
     m_turn.timers().set (now + m_turn.jittered (contactPeriod / 2), TimerKind::peerHello);
--- a/modules/plankledge_policy/relay/RelaySettings.h
+++ b/modules/plankledge_policy/relay/RelaySettings.h
@@ -16,12 +16,14 @@
     Duration m_retryWindow = std::chrono::seconds (10);  /**< in which retries are counted */
     Duration m_stopGrace = std::chrono::seconds (6);     /**< from the request to stop until the kill */
     Duration m_announcementPeriod = Milliseconds (1500); /**< between a target's announcements */
+    bool m_isFirstStart = false; /**< all nodes start for the first time: none is in the store yet */
 
     auto operator<=> (const RelaySettings&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_retryRatio, m_retrySlack, m_retryWindow, m_stopGrace, m_announcementPeriod);
+        archive (m_retryRatio, m_retrySlack, m_retryWindow, m_stopGrace, m_announcementPeriod,
+                 m_isFirstStart);
     }
 };
 
--- a/modules/plankledge_policy/relay/store/StoreSync.cpp
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -13,6 +13,11 @@
    starts are apart, most of 197 nodes that started together asked the store, too. */
 constexpr Duration patienceForRoutes = Milliseconds (1000);
 
+/** Nodes that all start for the first time list the members after this: they start within 0.3 s of each
+   other, and whoever lists before the others have written takes itself for the only node, follows the store,
+   and asks it for routes. All of 194 nodes did, for 1,248 calls in a day. Callers come seconds later. */
+constexpr Duration firstStartsApart = Milliseconds (700);
+
 /** Between two times that it asks; doubles up to the longest. */
 constexpr Duration firstRoutesPause = std::chrono::seconds (1);
 constexpr Duration longestRoutesPause = std::chrono::seconds (8);
@@ -39,17 +44,39 @@
 {
 }
 
-void StoreSync::start (Turn& turn)
+void StoreSync::start (Turn& turn, bool isFirstStart)
+{
+    // Spread, so that many are told by those that listed first.
+    const auto listAt = turn.now() + (isFirstStart ? firstStartsApart + turn.jittered (firstStartsApart / 2)
+                                                   : Duration::zero());
+    m_listAt = listAt;
+    m_followerSeenAt = listAt;
+    m_readerSeenAt = listAt;
+    m_routesAt = listAt + patienceForRoutes;
+
+    if (isFirstStart)
+        publish (turn, "first start");
+
+    listWhenDue (turn);
+}
+
+void StoreSync::listWhenDue (Turn& turn)
 {
-    m_followerSeenAt = turn.now();
-    m_readerSeenAt = turn.now();
-    m_routesAt = turn.now() + patienceForRoutes;
+    if (! m_listAt.has_value() || turn.now() < *m_listAt)
+        return;
+
+    m_listAt.reset();
+
+    if (m_book.end() >= 0)
+        return; // told by a node that was sooner
+
     turn.emit (ReadTopic { StoreTopic::members, TopicReading::once, -1 });
 }
 
 //==============================================================================
 void StoreSync::onTick (Turn& turn, bool areRoutesKnown)
 {
+    listWhenDue (turn);
     m_isReached = ! m_lostSince.has_value() || turn.now() - *m_lostSince <= patience;
     m_chosen = m_followers.choose (m_peers, m_isReached, turn.now());
     noteFollowers (turn.now());
@@ -201,12 +228,14 @@
     if (! isGone && m_book.names (m_self))
         return;
 
+    publish (turn, isGone ? "gone" : isOther ? "another address" : "none there");
+}
+
+void StoreSync::publish (Turn& turn, const char* reason)
+{
+    m_isPublished = true;
     turn.emit (PublishMember { m_self });
-    turn.emit (LogDecision { Decision::memberPublished,
-                             {},
-                             { { "reason", isGone    ? "gone"
-                                           : isOther ? "another address"
-                                                     : "none there" } } });
+    turn.emit (LogDecision { Decision::memberPublished, {}, { { "reason", reason } } });
 }
 
 /** Without this, nodes that lost power for good would stay in the store, and be asked for ever. */
--- a/modules/plankledge_policy/relay/store/StoreSync.h
+++ b/modules/plankledge_policy/relay/store/StoreSync.h
@@ -36,7 +36,9 @@
 
     StoreSync (const Member& self, PeerTable& peers);
 
-    void start (Turn& turn);
+    /** @param isFirstStart   all nodes start for the first time: the own record is written at once, and the
+       others' are read when they are there */
+    void start (Turn& turn, bool isFirstStart);
 
     /** Looks whether this node is to follow; called every 200 ms.
 
@@ -75,6 +77,8 @@
     void setFollowing (Turn& turn, bool isFollowing, bool isWatchful, const char* reason);
     void noteFollowers (Time now);
     void readRoutesOnce (Turn& turn, bool areRoutesKnown);
+    void listWhenDue (Turn& turn);
+    void publish (Turn& turn, const char* reason);
     void keepOwnRecord (Turn& turn, const MembersRead& read);
     void withdrawDead (Turn& turn);
     bool isIsolated (Time now) const noexcept { return now - m_followerSeenAt > patience; }
@@ -90,8 +94,9 @@
     Time m_followerSeenAt;           /**< when a follower of the zone was last known to be there */
     Time m_readerSeenAt;             /**< the same of one that the store answers, this node included */
     Time m_pulledAt;
-    Time m_routesAt;           /**< when routes may be asked of the store again */
-    Duration m_routesPause {}; /**< until then, the next time */
+    std::optional<Time> m_listAt; /**< when the members are to be listed */
+    Time m_routesAt;              /**< when routes may be asked of the store again */
+    Duration m_routesPause {};    /**< until then, the next time */
     bool m_isFollowing = false;
     bool m_isWatchful = false; /**< while following: for the zone, the other followers need not be */
     bool m_isReached = true;
--- a/tests/relay/store/StoreFollowers_test.cpp
+++ b/tests/relay/store/StoreFollowers_test.cpp
@@ -58,7 +58,7 @@
     const auto few = callsOfEach (60);
     const auto many = callsOfEach (194);
     MESSAGE ("calls a node: " << few << " with 60, " << many << " with 194");
-    CHECK (many <= 4.0);
+    CHECK (many <= 2.5);
     CHECK (many < few);
 }
 
--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -74,7 +74,7 @@
     auto& host = m_hosts.at (instance);
     host.m_settings.m_self.m_id.m_incarnation = ++host.m_life;
     host.m_reducer = std::make_unique<Reducer> (
-        host.m_settings, RelaySettings(), [this] (const std::string& text) -> absl::StatusOr<RouteTable> {
+        host.m_settings, m_settings, [this] (const std::string& text) -> absl::StatusOr<RouteTable> {
             const auto found = m_tables.find (text);
 
             if (found == m_tables.end())
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -80,6 +80,9 @@
 
     void setTarget (const InstanceName& instance, TargetBehaviour behaviour);
 
+    /** Nodes that are started from now on are told that all start for the first time. */
+    void setFirstStart (bool isFirst) { m_settings.m_isFirstStart = isFirst; }
+
     /** Takes what nodes want of the store; without, they are told by the rig. */
     using StoreHook = std::function<void (const InstanceName&, const Effect&)>;
     void setStore (StoreHook hook) { m_store = std::move (hook); }
@@ -192,6 +195,7 @@
     std::vector<Run> m_runs;
     std::uint64_t m_hellos = 0;
     StoreHook m_store;
+    RelaySettings m_settings;
 };
 
 /** @returns a route to one service, under "/NAME/" */
--- a/tests/support/StoreFleet.cpp
+++ b/tests/support/StoreFleet.cpp
@@ -25,6 +25,8 @@
         m_wanted.emplace_back (instance, effect);
     });
 
+    setFirstStart (true);
+
     for (unsigned number = 0; number < nodes; ++number)
     {
         m_names.push_back ("node-" + std::to_string (number));
@@ -34,6 +36,8 @@
         if (number % startsPerStep == 0)
             run (step);
     }
+
+    setFirstStart (false);
 }
 
 void StoreFleet::join (const InstanceName& instance, const ZoneName& zone)
--- a/tests/support/StoreFleet.h
+++ b/tests/support/StoreFleet.h
@@ -15,7 +15,7 @@
 {
 public:
     //==============================================================================
-    /** Starts so many nodes within 0.3 s, dealt among zones and two services. */
+    /** Starts so many nodes for the first time, within 0.3 s, dealt among zones and two services. */
     StoreFleet (unsigned nodes, unsigned zones);
 
     void run (Duration duration);
