--- a/modules/plankledge_policy/relay/gate/OwnTarget.cpp
+++ b/modules/plankledge_policy/relay/gate/OwnTarget.cpp
@@ -91,8 +91,8 @@
     return before.m_target == next.m_target ? Change::restarted : Change::newLife;
 }
 
-/** The end of a life does not say which one it is of. It is of the one that is served, since work for a target
-    that has gone is lost, unless an earlier one that drained still owes it. */
+/** The end of a life does not say which one it is of. It is of the one that is served, since work for a
+   target that has gone is lost, unless an earlier one that drained still owes it. */
 OwnTarget::Change OwnTarget::onGone (const TargetId& target, Time now)
 {
     if (target == id())
--- a/modules/plankledge_policy/relay/gate/OwnTarget.h
+++ b/modules/plankledge_policy/relay/gate/OwnTarget.h
@@ -69,15 +69,15 @@
     Change leave (const TargetLife& life);
 
     const Duration m_silenceLimit;
-    TargetAnnounced m_announced;     /**< the newest of the life that is served */
-    std::set<TargetLife> m_leaving;  /**< lives that said so; never taken up again */
-    std::set<TargetLife> m_past;     /**< lives that another one followed */
+    TargetAnnounced m_announced;      /**< the newest of the life that is served */
+    std::set<TargetLife> m_leaving;   /**< lives that said so; never taken up again */
+    std::set<TargetLife> m_past;      /**< lives that another one followed */
     std::set<TargetId> m_goneUnheard; /**< targets whose end was heard before anything else of them */
     std::set<TargetId> m_endsDue;     /**< targets of which a life that drained was followed by another before
                                         its end was heard */
     Time m_heardAt;
-    Time m_beganAt;              /**< when the life that is served was first heard */
-    bool m_isEndHeard = false;   /**< of that life */
+    Time m_beganAt;            /**< when the life that is served was first heard */
+    bool m_isEndHeard = false; /**< of that life */
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/peers/PeerContacts.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.cpp
@@ -17,9 +17,9 @@
     are asked; half a second is short against the seconds in which load and admission levels move. */
 constexpr Duration freshFor = Milliseconds (500);
 
-/** The same for a peer of another zone to which no request went lately. Its admission level is told at once when
-    it moves; the load is of use once requests go there. Asked as often as the others, such peers took 118 of 143 MB
-    that went between zones on a quiet day of 194 nodes. */
+/** The same for a peer of another zone to which no request went lately. Its admission level is told at once
+   when it moves; the load is of use once requests go there. Asked as often as the others, such peers took 118
+   of 143 MB that went between zones on a quiet day of 194 nodes. */
 constexpr Duration idleFreshFor = std::chrono::seconds (2);
 
 /** A request went there lately: longer than any request of a route that is called takes. */
--- a/modules/plankledge_runtime/LinkTraffic.h
+++ b/modules/plankledge_runtime/LinkTraffic.h
@@ -27,8 +27,8 @@
 /** @returns what a frame with this message is for */
 FrameKind kindOf (const PeerMessage& message) noexcept;
 
-/** Bytes of the frames that a node sent since its start, by what they were for. What all nodes sent is what all
-    received, so nothing is counted twice. */
+/** Bytes of the frames that a node sent since its start, by what they were for. What all nodes sent is what
+   all received, so nothing is counted twice. */
 struct LinkTraffic
 {
     using ByKind = Counters::By<FrameKind, FrameKind::frameKindCount>;
--- a/modules/plankledge_runtime/PeerEdge.cpp
+++ b/modules/plankledge_runtime/PeerEdge.cpp
@@ -26,8 +26,7 @@
 {
 }
 
-void PeerEdge::count (const Node& node, const InstanceName& to, const PeerMessage& message,
-                      std::size_t bytes)
+void PeerEdge::count (const Node& node, const InstanceName& to, const PeerMessage& message, std::size_t bytes)
 {
     const auto isOther = node.reducer().servesRelayed() && node.reducer().relay().isInOtherZone (to);
     auto& counters = isOther ? m_traffic.m_otherZone : m_traffic.m_ownZone;
--- /dev/null
+++ b/tests/platform/BadRecordsFuzz_test.cpp
@@ -0,0 +1,228 @@
+/*  Other writers may say anything where a node reads: announcements, records of the store and its pages,
+    configurations, frames. Valid inputs are spoiled at random; nothing may crash, and what is taken in all
+   the same must be whole. */
+
+#include "plankledge_formats/PlatformJson.h"
+#include "plankledge_policy/relay/gate/OwnTarget.h"
+#include "plankledge_wire/FrameCodec.h"
+#include "platform/HttpDialect.h"
+#include "platform/RoutesJson.h"
+#include "platform/StoreClient.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <random>
+
+namespace plankledge::test
+{
+
+using namespace plankledge::platform;
+
+namespace
+{
+
+/** Inputs of each kind, unless the environment asks for more. */
+constexpr unsigned usualTrials = 40000;
+
+unsigned trials()
+{
+    const auto* text = std::getenv ("PLANKLEDGE_FUZZ_TRIALS");
+    return text != nullptr ? static_cast<unsigned> (std::strtoul (text, nullptr, 10)) : usualTrials;
+}
+
+const TargetPlace place { "huvo", "a", "10.128.0.9" };
+
+const std::string announcement =
+    R"({"service":"huvo","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":168,)"
+    R"("state":"ready","coldLeftS":1.5,"callSeq":4,"born":1764722400123})";
+
+const std::string routes =
+    R"({"version":"r7","limits":{"maxHeaderBytes":16384},"listeners":[{"host":"a.example","ruleSet":[{"name":"r1",)"
+    R"("kind":"idempotent","targetLatencyS":1.5,"priority":2,"match":{"pathPrefix":"/p/"},"action":{)"
+    R"("weightedClusters":[{"service":"huvo","weight":90},{"service":"lovo","weight":10}],"timeoutS":1.5,)"
+    R"("maxAttempts":2}}]}],"clusters":[{"name":"huvo"},{"name":"lovo"}]})";
+
+/** Changes a text in one to four places: a byte, a piece left out, doubled or moved, a number put in. */
+class Spoiler
+{
+public:
+    explicit Spoiler (std::uint32_t seed)
+        : m_random (seed)
+    {
+    }
+
+    std::string spoil (std::string text)
+    {
+        for (auto left = 1 + below (4); left > 0 && ! text.empty(); --left)
+            change (text);
+
+        return text;
+    }
+
+private:
+    std::size_t below (std::size_t bound) { return m_random() % bound; }
+
+    void change (std::string& text)
+    {
+        static const char* const pieces[] = { "-1",      "1e300", "null", "true", "\"\"",
+                                              "{}",      "[]",    "\xff", "0.5",  "9223372036854775808",
+                                              "\\u0000", "," };
+        const auto at = below (text.size());
+        const auto length = 1 + below (12);
+
+        switch (below (5))
+        {
+        case 0:
+            text[at] = static_cast<char> (below (256));
+            return;
+        case 1:
+            text.erase (at, length);
+            return;
+        case 2:
+            text.insert (at, text.substr (at, length));
+            return;
+        case 3:
+            text.resize (at);
+            return;
+        default:
+            text.replace (at, length, pieces[below (std::size (pieces))]);
+        }
+    }
+
+    std::minstd_rand m_random;
+};
+
+} // namespace
+
+//==============================================================================
+TEST_CASE ("a spoiled announcement is refused, or it is whole and of this node's target")
+{
+    Spoiler spoiler (1);
+    unsigned taken = 0;
+
+    for (unsigned trial = 0; trial < trials(); ++trial)
+    {
+        HttpRequest request;
+        request.m_method = "PUT";
+        request.m_target = "/-/instances/i-1";
+        request.m_body = spoiler.spoil (announcement);
+        CAPTURE (request.m_body);
+        const auto decoded = decodeAnnouncement (request, place);
+        const auto* announced = std::get_if<TargetAnnounced> (&decoded);
+
+        if (announced == nullptr)
+            continue;
+
+        ++taken;
+        REQUIRE (announced->m_service == place.m_service);
+        REQUIRE (announced->m_endpoint.m_ip == place.m_ip);
+        REQUIRE (announced->m_endpoint.m_port > 0);
+        REQUIRE (announced->m_slots >= 1);
+        REQUIRE (announced->m_slots <= 1000000);
+        REQUIRE (announced->m_startedAt.value_or (Duration::zero()) >= Duration::zero());
+        REQUIRE (announced->m_state != AnnouncedState::gone);
+    }
+
+    MESSAGE ("taken: " << taken << " of " << trials());
+    CHECK (taken > 0);
+}
+
+TEST_CASE ("spoiled records of members are refused, or name an instance at an address")
+{
+    Spoiler spoiler (2);
+    const auto record =
+        encodeJoinRecord ({ { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::serving, 0 });
+
+    for (unsigned trial = 0; trial < trials(); ++trial)
+    {
+        const auto text = spoiler.spoil (record);
+        CAPTURE (text);
+        const auto decoded = decodeJoinRecord ({ 1, text });
+
+        if (! decoded.ok())
+            continue;
+
+        REQUIRE_FALSE (decoded->m_member.m_id.m_instance.empty());
+        REQUIRE (decoded->m_member.m_endpoint.m_port > 0);
+    }
+}
+
+TEST_CASE ("spoiled pages of the store are refused, or leave out what can't be read")
+{
+    Spoiler spoiler (3);
+    const auto read = std::string (7, '\0') + "\2" + std::string (8, '\0') + encodeRecord ("key", "value") +
+                      encodeRecord ("other", "");
+    const std::string listing =
+        R"({"items":[{"tlsKey":"a","value":"eA==","offset":1},{"tlsKey":"b","value":"","offset":3}],"endKey":4})";
+
+    for (unsigned trial = 0; trial < trials(); ++trial)
+    {
+        if (const auto page = decodeRead (spoiler.spoil (read), 5); page.ok())
+            REQUIRE (page->m_records.size() <= 8);
+
+        if (const auto page = decodeListing (spoiler.spoil (listing)); page.ok())
+            REQUIRE (page->m_records.size() <= 8);
+    }
+}
+
+TEST_CASE ("spoiled configurations are refused, or have a version")
+{
+    Spoiler spoiler (4);
+    REQUIRE (parseRoutes (routes).ok());
+
+    for (unsigned trial = 0; trial < trials() / 4; ++trial)
+    {
+        const auto text = spoiler.spoil (routes);
+        CAPTURE (text);
+        const auto table = parseRoutes (text);
+
+        if (table.ok())
+            REQUIRE (table->version() > 0);
+    }
+}
+
+TEST_CASE ("spoiled frames about members and the store are refused, or are whole")
+{
+    Spoiler spoiler (5);
+    const Member member { { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::serving, 0 };
+    const PeerMessage messages[] = { PeerHello { member, 3, {}, {}, true, { 17, true, true } },
+                                     PeerStatus {
+                                         3, {}, { { "route", Milliseconds (5) } }, std::nullopt, {} },
+                                     MembersPull { 12 }, MembersTold { { member }, { "node-2" }, 18 } };
+
+    for (unsigned trial = 0; trial < trials(); ++trial)
+    {
+        const auto& message = messages[trial % std::size (messages)];
+        const auto bytes = encodeFrame ({ protocolVersion, { "node-1", 7 }, "node-3", message });
+        const auto frame = decodeFrame (spoiler.spoil (bytes.substr (frameHeaderBytes)), "node-3");
+
+        if (! frame.ok())
+            continue;
+
+        if (const auto* told = std::get_if<MembersTold> (&frame->m_message))
+            REQUIRE (told->m_members.size() <= 1);
+    }
+}
+
+TEST_CASE ("frames about members and the store come out as they went in")
+{
+    const Member member { { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::serving, 0 };
+    const Frame frames[] = {
+        { protocolVersion, { "node-1", 7 }, "node-3", MembersTold { { member }, { "node-2" }, 18 } },
+        { protocolVersion, { "node-1", 7 }, "node-3", MembersPull { 12 } },
+        { protocolVersion,
+          { "node-1", 7 },
+          "node-3",
+          PeerHello { member, 3, {}, {}, true, { 17, true, false } } }
+    };
+
+    for (const auto& frame : frames)
+    {
+        const auto decoded = decodeFrame (encodeFrame (frame).substr (frameHeaderBytes), "node-3");
+        REQUIRE (decoded.ok());
+        CHECK (*decoded == frame);
+    }
+}
+
+} // namespace plankledge::test
--- a/tests/platform/Store_test.cpp
+++ b/tests/platform/Store_test.cpp
@@ -1,3 +1,4 @@
+#include "plankledge_formats/PlatformJson.h"
 #include "platform/KeyedTopic.h"
 #include "platform/StoreEdge.h"
 #include "support/StoreStandin.h"
@@ -157,6 +158,51 @@
     CHECK (store.appends() == appends + 1);
 }
 
+TEST_CASE (
+    "a record under another name than its instance's, and one that can't be read, name and remove nobody")
+{
+    boost::asio::io_context context;
+    StoreStandin store (context);
+    Logger logger ("node-1", Severity::error);
+    NodeSettings settings;
+    settings.m_self = { { "node-1", 7 }, "plans", "a", { "127.0.0.1", 1 }, MemberState::serving, 0 };
+    const auto recordOf = [] (const InstanceName& name, std::uint16_t port) {
+        return encodeJoinRecord (
+            { { name, 1 }, "plans", "a", { "127.0.0.1", port }, MemberState::serving, 0 });
+    };
+    store.put ("keyed.nodes", "good", recordOf ("good", 2));
+    store.put ("keyed.nodes", "thief", recordOf ("good", 3));
+    store.put ("keyed.nodes", "ghost", recordOf ("phantom", 4));
+    store.put ("keyed.nodes", "spoiled", "{\"kind\":\"join\"");
+    Node node (context,
+               std::make_unique<Reducer> (
+                   settings, RelaySettings(),
+                   [] (const std::string&) -> absl::StatusOr<RouteTable> { return RouteTable (1, {}); }),
+               logger);
+    StoreEdge edge (context, node, store.endpoint(), "node-1");
+    node.addEdge (handlerOf (edge));
+    node.addEdge ([] (const Effect&) { return true; });
+    node.start();
+    context.run_for (std::chrono::milliseconds (1500));
+
+    const auto& peers = node.reducer().relay().peers();
+    REQUIRE (peers.find ("good") != nullptr);
+    CHECK (peers.find ("good")->m_member.m_endpoint.m_port == 2);
+
+    for (const auto* name : { "thief", "ghost", "phantom", "spoiled" })
+        CHECK (peers.find (name) == nullptr);
+
+    // The good record is spoiled by another writer: the node is still known.
+    store.put ("keyed.nodes", "good", "no record");
+    context.run_for (std::chrono::milliseconds (1000));
+    CHECK (peers.find ("good") != nullptr);
+
+    // The own one is: it is written again.
+    store.put ("keyed.nodes", "node-1", "no record");
+    context.run_for (std::chrono::milliseconds (2000));
+    CHECK (store.newest ("keyed.nodes", "node-1") != "no record");
+}
+
 //==============================================================================
 TEST_CASE ("answers of the store that can't be read are errors, whatever is wrong with them")
 {
--- a/tests/relay/gate/OwnTarget_test.cpp
+++ b/tests/relay/gate/OwnTarget_test.cpp
@@ -78,7 +78,8 @@
       true,
       "a" },
     { "an earlier life under the same id comes late",
-      { startedAt (200, "a", AnnouncedState::serving, 1), startedAt (100, "a", AnnouncedState::draining, 51) },
+      { startedAt (200, "a", AnnouncedState::serving, 1),
+        startedAt (100, "a", AnnouncedState::draining, 51) },
       true,
       "a" },
     { "the new life leaves, and one of the earlier comes late",
@@ -155,7 +156,8 @@
     CHECK (target.isServing (now));
 }
 
-TEST_CASE ("a target that starts again under its id has new slots and a new address, and its count begins anew")
+TEST_CASE (
+    "a target that starts again under its id has new slots and a new address, and its count begins anew")
 {
     OwnTarget target (period);
     const Time now { std::chrono::hours (1) };
--- a/tests/relay/gate/RestartedTarget_test.cpp
+++ b/tests/relay/gate/RestartedTarget_test.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 //==============================================================================
-TEST_CASE ("what runs when the target starts again has an unknown outcome, and what waits runs in the new life")
+TEST_CASE (
+    "what runs when the target starts again has an unknown outcome, and what waits runs in the new life")
 {
     RestartSite site;
     site.setTarget ("one", never);
@@ -71,7 +72,8 @@
     CHECK (site.answers().at (ticket).m_result.m_outcome == Outcome::completed);
 }
 
-TEST_CASE ("a target that left and starts again under its id is served, and the entry knows it within a second")
+TEST_CASE (
+    "a target that left and starts again under its id is served, and the entry knows it within a second")
 {
     RestartSite site;
     site.announce ("one", AnnouncedState::draining);
--- a/tests/relay/peers/PeerContacts_test.cpp
+++ b/tests/relay/peers/PeerContacts_test.cpp
@@ -170,7 +170,8 @@
     { "in another zone, where nothing is sent", 600, 600, 0, 0, false, "zone-b" },
     { "the same for long", 2100, 2100, 0, 0, true, "zone-b" },
     { "in another zone, where requests go", 600, 100, 0, 0, true, "zone-b", 900 },
-    { "in another zone, and a request that is under way is not answered", 300, 300, 0, 1, true, "zone-b", 300 },
+    { "in another zone, and a request that is under way is not answered", 300, 300, 0, 1, true, "zone-b",
+      300 },
 };
 
 } // namespace
