--- a/modules/plankledge_core/Identity.h
+++ b/modules/plankledge_core/Identity.h
@@ -11,6 +11,7 @@
 using ServiceName = std::string;
 using OperationName = std::string;
 using ZoneName = std::string;
+using OrganisationName = std::string;
 
 /** Grows with every start of a process on the same instance (microseconds of wall time at start). */
 using Incarnation = std::uint64_t;
--- a/modules/plankledge_core/Outcome.cpp
+++ b/modules/plankledge_core/Outcome.cpp
@@ -43,6 +43,12 @@
     "target-not-ready",
     "stale-after-pause",
     "target-failed",
+    "key-missing",
+    "key-malformed",
+    "key-unknown",
+    "key-unproven",
+    "beyond-limit",
+    "limit-unknown",
 };
 
 static_assert (! reasonNames.back().empty(), "every reason has a name");
@@ -107,6 +113,12 @@
     case Reason::unknownOperation:
     case Reason::noRoute:
         return 404;
+    case Reason::keyMissing:
+    case Reason::keyMalformed:
+    case Reason::keyUnknown:
+        return 401;
+    case Reason::beyondLimit:
+        return 429;
     case Reason::requestTooLarge:
         return 413;
     case Reason::keyReusedWithOtherBody:
@@ -130,6 +142,9 @@
     case Reason::requestTooLarge:
     case Reason::keyReusedWithOtherBody:
     case Reason::recordExpired:
+    case Reason::keyMissing:
+    case Reason::keyMalformed:
+    case Reason::keyUnknown:
         return false;
     default:
         return true;
--- a/modules/plankledge_core/PeerMessages.h
+++ b/modules/plankledge_core/PeerMessages.h
@@ -312,7 +312,8 @@
     std::variant<CallRequest, CallAnswer, CallCancel, Inquiry, InquiryAnswer, JoinRequest,
                  JoinAcknowledgement, Heartbeat, Handover, HandoverAcknowledgement, LeaveNotice,
                  LeaveAcknowledgement, ConfigurationPull, ConfigurationState, RelayRequest, RelayAnswer,
-                 RelayCancel, PeerHello, PeerStatus, RoutesPull, RoutesText, MembersPull, MembersTold>;
+                 RelayCancel, PeerHello, PeerStatus, RoutesPull, RoutesText, MembersPull, MembersTold,
+                 ProofQuestion, ProofAnswer, LimitQuestion, LimitAnswer>;
 
 //==============================================================================
 /** A UDP datagram: who the sender is, what it has in force, and a few members it heard of lately. */
--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -132,7 +132,10 @@
     ServiceName m_service;       /**< that the target must belong to */
     ServiceName m_callerService; /**< of the instance where the request began */
     RouteName m_route;
-    std::uint16_t m_urgency = 0;   /**< the smaller, the sooner run */
+    OrganisationName m_organisation;       /**< that the request's key belongs to; empty: it needs none */
+    std::optional<Duration> m_keyHoldsFor; /**< it may not begin to run later than this after it was sent;
+                                              nullopt: no such bound */
+    std::uint16_t m_urgency = 0;           /**< the smaller, the sooner run */
     bool m_isRepeat = false;       /**< it, or a request that it is a call of, was sent to a target before */
     bool m_isNested = false;       /**< a call made by a target for a request that runs already */
     Duration m_chainAge {};        /**< since the request at the head of the chain came to its entry */
@@ -145,8 +148,9 @@
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_callId, m_content, m_service, m_callerService, m_route, m_urgency, m_isRepeat, m_isNested,
-                 m_chainAge, m_timeLeft, m_longestQueueing, m_longestToBegin, m_sentAt);
+        archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_keyHoldsFor,
+                 m_urgency, m_isRepeat, m_isNested, m_chainAge, m_timeLeft, m_longestQueueing,
+                 m_longestToBegin, m_sentAt);
     }
 };
 
@@ -273,4 +277,59 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_text); }
 };
 
+//==============================================================================
+/** Asks up to when the receiver knows that no newer configuration was written than the one it has. */
+struct ProofQuestion
+{
+    Duration m_askedAt {}; /**< by the asker's clock; comes back with the answer */
+
+    auto operator<=> (const ProofQuestion&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_askedAt); }
+};
+
+/** Answers ProofQuestion. The asker subtracts the age from when it asked, so that the whole way there and
+   back counts, however long the answer lay somewhere. */
+struct ProofAnswer
+{
+    Duration m_askedAt {};              /**< the question's */
+    ConfigurationVersion m_version = 0; /**< in force at the sender */
+    Duration m_age {};                  /**< so long ago no newer version had been written */
+
+    auto operator<=> (const ProofAnswer&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_askedAt, m_version, m_age); }
+};
+
+//==============================================================================
+/** Asks the node that counts an organisation's requests whether one more is within its limit. */
+struct LimitQuestion
+{
+    CallId m_question = 0; /**< the asker's own number */
+    OrganisationName m_organisation;
+
+    auto operator<=> (const LimitQuestion&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_question, m_organisation); }
+};
+
+enum class LimitVerdict : std::uint8_t
+{
+    within, /**< the request is counted */
+    beyond,
+    unknown /**< the node does not know the organisation, or nobody could be asked */
+};
+
+/** Answers LimitQuestion. */
+struct LimitAnswer
+{
+    CallId m_question = 0;
+    LimitVerdict m_verdict = LimitVerdict::unknown;
+    Duration m_wait {}; /**< where it is beyond: until a request would be within */
+
+    auto operator<=> (const LimitAnswer&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_question, m_verdict, m_wait); }
+};
+
 } // namespace plankledge
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -185,12 +185,13 @@
     TargetId m_target; /**< no other life of the target may run it */
     Endpoint m_endpoint;
     Duration m_timeLeft {};
+    OrganisationName m_organisation {}; /**< that the request is for; empty: it needs no key */
 
     auto operator<=> (const RelayToTarget&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_call, m_content, m_callerService, m_target, m_endpoint, m_timeLeft);
+        archive (m_call, m_content, m_callerService, m_target, m_endpoint, m_timeLeft, m_organisation);
     }
 };
 
@@ -221,14 +222,15 @@
     StoreTopic m_topic = StoreTopic::members;
     TopicReading m_reading = TopicReading::rest;
     LogOffset m_from = -1; /**< to follow: all records before this one are known; -1: it is listed first */
-    bool m_isWatchful = false; /**< to follow: a store that falls silent is to be noticed, and its return,
-                                  within the time in which a change must be in force */
+    Duration
+        m_longestWait {}; /**< to follow: a read without news ends after this, so that a store which falls
+                             silent is noticed, and its return; 0: as long as the store lets it wait */
 
     auto operator<=> (const ReadTopic&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_topic, m_reading, m_from, m_isWatchful);
+        archive (m_topic, m_reading, m_from, m_longestWait);
     }
 };
 
@@ -273,6 +275,9 @@
     admissionMoved,
     storeFollowing,
     memberPublished,
+    keysOpened,
+    keysClosed,
+    limitHomes,
     decisionCount
 };
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -253,6 +253,24 @@
 };
 
 //==============================================================================
+enum class CredentialKind : std::uint8_t
+{
+    none,
+    key,
+    malformed /**< several, of another scheme, or what can't be a key */
+};
+
+/** What a sender shows of whom it speaks for. */
+struct Credential
+{
+    CredentialKind m_kind = CredentialKind::none;
+    std::string m_key; /**< a secret: goes to no log, metric or peer */
+
+    auto operator<=> (const Credential&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_kind, m_key); }
+};
+
 /** A relayed request came in, from a caller of this instance or from its target. */
 struct RelayRequestReceived
 {
@@ -260,12 +278,14 @@
     std::string m_host; /**< that the request names; part of what picks the route */
     RelayContent m_content;
     std::optional<Duration> m_timeout; /**< how long the sender waits; nullopt: it did not say */
+    Credential m_credential;
+    HeaderList m_credentialHeaders; /**< as they were sent; they travel on only where no keys are declared */
 
     auto operator<=> (const RelayRequestReceived&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_ticket, m_host, m_content, m_timeout);
+        archive (m_ticket, m_host, m_content, m_timeout, m_credential, m_credentialHeaders);
     }
 };
 
@@ -326,6 +346,17 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_text); }
 };
 
+/** The store answered a read of the routes: all versions that were written before it was asked have been
+   handed on. */
+struct RoutesConfirmed
+{
+    Duration m_askedAt {}; /**< by this process's clock (BootClock) */
+
+    auto operator<=> (const RoutesConfirmed&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_askedAt); }
+};
+
 /** The store was read: nodes that announced themselves or were withdrawn since the last read. */
 struct MembersRead
 {
@@ -356,7 +387,7 @@
     std::variant<TimePassed, RequestReceived, RequesterGone, PeerMessageReceived, PeerUnreachable, PeerLost,
                  LinkClosed, RumourReceived, TargetAnswered, TargetFailed, TargetObserved, ListReceived,
                  ConfigurationRead, JoinsRead, StopRequested, RelayRequestReceived, TargetReply,
-                 TargetAnnounced, RoutesRead, MembersRead, StoreReached>;
+                 TargetAnnounced, RoutesRead, RoutesConfirmed, MembersRead, StoreReached>;
 
 //==============================================================================
 struct Event
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -47,15 +47,20 @@
     , m_settings (settings)
     , m_routes (std::move (parser), [this] { onRoutesInForce(); })
     , m_peers (turn.settings().m_self)
+    , m_keys (settings, turn.settings().m_self, m_peers)
+    , m_limits (settings, m_routes, m_peers,
+                [this] (Turn& inner, CallId request, const OrganisationLimits::Judgement& judgement) {
+                    m_entry.onJudged (inner, request, judgement);
+                })
     , m_contacts (turn.settings().m_self)
     , m_store (turn.settings().m_self, m_peers)
     , m_gate (settings, { [this] (Turn& inner, const RelayAnswer& answer) {
                              m_entry.onAnswer (inner, m_peers.self(), answer);
                          },
                           [this] (Turn&) { onGateMoved(); }, [this] { return m_routes.version(); } })
-    , m_entry (
-          settings, turn.settings().m_self,
-          { m_routes, m_peers, m_calls, m_gate, [this] (const ServiceName& service) { need (service); } })
+    , m_entry (settings, turn.settings().m_self,
+               { m_routes, m_peers, m_calls, m_gate, m_keys, m_limits,
+                 [this] (const ServiceName& service) { need (service); } })
 {
 }
 
@@ -74,6 +79,7 @@
     m_peers.onPause (m_turn.now());
     m_entry.onPause (m_turn.now());
     m_store.onPause (m_turn.now());
+    m_limits.onPause (m_turn.now());
 }
 
 void RelayDecisions::onTimer (const TimerQueue::Timer& timer)
@@ -94,8 +100,7 @@
         m_gate.onPeriodEnd (m_turn);
         return m_turn.timers().set (m_turn.now() + AdmissionLevel::period, TimerKind::admissionPeriod);
     case TimerKind::peerHello:
-        m_store.onTick (m_turn, m_routes.isKnown());
-        greetDue();
+        onContactTime();
         return m_turn.timers().set (m_turn.now() + contactPeriod, TimerKind::peerHello);
     case TimerKind::relayStop:
         return onStopTime();
@@ -104,6 +109,14 @@
     }
 }
 
+void RelayDecisions::onContactTime()
+{
+    m_store.onTick (m_turn, m_routes.isKnown());
+    m_keys.onTick (m_turn, m_store.watcher(), m_store.isWatching());
+    m_limits.onTick (m_turn);
+    greetDue();
+}
+
 void RelayDecisions::onWindowEnd()
 {
     const auto now = m_turn.now();
@@ -121,6 +134,7 @@
         m_turn.emit (
             LogDecision { Decision::peerLost, {}, { { "peer", instance }, { "reason", "silent" } } });
         m_entry.onPeerSilent (m_turn, instance);
+        m_limits.onPeerDown (m_turn, instance);
     }
 
     // A silent peer with requests is found within a second: 200 ms quiet, 600 ms unanswered, two windows.
@@ -128,6 +142,7 @@
         if (PeerContacts::isQuietWithRequests (*peer, now))
             greet (*peer, false);
 
+    m_limits.onWindowEnd (m_turn);
     m_entry.retryHeld (m_turn);
     m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
 }
@@ -157,10 +172,22 @@
 
     for (const auto* peer : m_store.due (now, m_routes.isKnown()))
         greet (*peer, false);
+
+    for (const auto* peer : m_limits.due (now))
+        greet (*peer, false);
+}
+
+void RelayDecisions::handle (const RoutesConfirmed& event)
+{
+    // What can't be read may have taken keys away.
+    if (m_isNewestReadable)
+        m_keys.onConfirmed (Time (event.m_askedAt));
 }
 
 void RelayDecisions::onRoutesInForce()
 {
+    m_keys.onRoutes (m_turn, m_routes.table(), m_store.watcher());
+    m_store.setLongestRead (m_keys.longestRead());
     const auto& services = m_routes.table().services();
 
     if (services.size() <= fewServices)
@@ -211,6 +238,8 @@
     if (m_peers.onUnreachable (instance))
         m_turn.emit (LogDecision {
             Decision::peerLost, {}, { { "peer", instance }, { "reason", "connection lost" } } });
+
+    m_limits.onPeerDown (m_turn, instance);
 }
 
 void RelayDecisions::handle (const MembersRead& event)
@@ -375,6 +404,27 @@
         learn (message.m_members, message.m_withdrawn, from.m_instance);
 }
 
+//==============================================================================
+void RelayDecisions::onMessage (LinkId link, const NodeId& from, const ProofQuestion& message)
+{
+    m_keys.onQuestion (m_turn, link, from.m_instance, message);
+}
+
+void RelayDecisions::onMessage (LinkId, const NodeId&, const ProofAnswer& message)
+{
+    m_keys.onAnswer (m_turn, message);
+}
+
+void RelayDecisions::onMessage (LinkId link, const NodeId& from, const LimitQuestion& message)
+{
+    m_limits.onQuestion (m_turn, link, from.m_instance, message);
+}
+
+void RelayDecisions::onMessage (LinkId, const NodeId& from, const LimitAnswer& message)
+{
+    m_limits.onAnswer (m_turn, from.m_instance, message);
+}
+
 //==============================================================================
 void RelayDecisions::handle (const StopRequested&)
 {
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -47,6 +47,8 @@
     const PeerTable& peers() const noexcept { return m_peers; }
     const TargetGate& gate() const noexcept { return m_gate; }
     const RelayEntry& entry() const noexcept { return m_entry; }
+    const KeyGuard& keys() const noexcept { return m_keys; }
+    const OrganisationLimits& limits() const noexcept { return m_limits; }
 
     //==============================================================================
     void handle (const RelayRequestReceived& event) { m_entry.receive (m_turn, event); }
@@ -54,7 +56,11 @@
     void handle (const TargetReply& event) { m_gate.onReply (m_turn, event); }
     void handle (const TargetAnnounced& event) { m_gate.onAnnounced (m_turn, event); }
     void handle (const LinkClosed& event);
-    void handle (const RoutesRead& event) { m_routes.onText (m_turn, event.m_text, "store"); }
+    void handle (const RoutesRead& event)
+    {
+        m_isNewestReadable = m_routes.onText (m_turn, event.m_text, "store");
+    }
+    void handle (const RoutesConfirmed& event);
     void handle (const PeerUnreachable& event);
     void handle (const PeerLost& event);
     void handle (const MembersRead& event);
@@ -73,9 +79,14 @@
     void onMessage (LinkId link, const NodeId& from, const RoutesText& message);
     void onMessage (LinkId link, const NodeId& from, const MembersPull& message);
     void onMessage (LinkId link, const NodeId& from, const MembersTold& message);
+    void onMessage (LinkId link, const NodeId& from, const ProofQuestion& message);
+    void onMessage (LinkId link, const NodeId& from, const ProofAnswer& message);
+    void onMessage (LinkId link, const NodeId& from, const LimitQuestion& message);
+    void onMessage (LinkId link, const NodeId& from, const LimitAnswer& message);
 
 private:
     //==============================================================================
+    void onContactTime();
     void onWindowEnd();
     void onStopTime();
     void need (const ServiceName& service);
@@ -96,6 +107,8 @@
     const RelaySettings m_settings;
     RouteFollower m_routes;
     PeerTable m_peers;
+    KeyGuard m_keys;
+    OrganisationLimits m_limits;
     PeerContacts m_contacts;
     StoreSync m_store;
     CallGraph m_calls;
@@ -103,6 +116,7 @@
     RelayEntry m_entry;
     Time m_windowAt;
     std::optional<Time> m_stoppedAt;
+    bool m_isNewestReadable = true; /**< of the versions that were read from the store */
 };
 
 } // namespace plankledge
--- /dev/null
+++ b/modules/plankledge_policy/relay/access/AccessCheck.cpp
@@ -0,0 +1,39 @@
+#include "plankledge_policy/relay/access/AccessCheck.h"
+
+namespace plankledge
+{
+
+Access judgeAccess (const Organisations& organisations, const AccessRequest& request) noexcept
+{
+    const auto& credential = request.m_credential;
+
+    if (! organisations.areDeclared() || request.m_isOwnTargetsCall)
+        return OpenAccess {};
+
+    const auto* organisation =
+        credential.m_kind == CredentialKind::key ? organisations.ofKey (credential.m_key) : nullptr;
+
+    if (request.m_route.m_isPublic)
+    {
+        if (organisation != nullptr && request.m_isProven)
+            return OrganisationAccess { organisation };
+
+        return OpenAccess {};
+    }
+
+    if (credential.m_kind == CredentialKind::none)
+        return AccessRefused { Reason::keyMissing };
+
+    if (credential.m_kind == CredentialKind::malformed)
+        return AccessRefused { Reason::keyMalformed };
+
+    if (! request.m_isProven)
+        return AccessRefused { Reason::keyUnproven };
+
+    if (organisation == nullptr)
+        return AccessRefused { Reason::keyUnknown };
+
+    return OrganisationAccess { organisation };
+}
+
+} // namespace plankledge
--- a/modules/plankledge_policy/relay/entry/EntryRequest.h
+++ b/modules/plankledge_policy/relay/entry/EntryRequest.h
@@ -3,6 +3,7 @@
 #include "plankledge_policy/Events.h"
 #include "plankledge_policy/relay/routes/RouteTable.h"
 
+#include <optional>
 #include <set>
 
 namespace plankledge::detail
@@ -15,6 +16,9 @@
     RelayContent m_content;
     Route m_route;
     ServiceName m_service;
+    OrganisationName m_organisation;        /**< that it is sent for; empty: it needs no key */
+    std::optional<Time> m_keyHoldsUntil {}; /**< it may not be sent on later; nullopt: no such bound */
+    bool m_isJudged = true; /**< false: whether it is within its organisation's limit is asked */
     bool m_isNested = false;
     std::uint16_t m_urgency = 0; /**< its route's priority; a call has that of the request it is for */
     Time m_receivedAt;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -61,7 +61,14 @@
     if (route == nullptr)
         return refuse (turn, received, Reason::noRoute);
 
-    auto request = makeRequest (turn, received, *route);
+    const auto access = accessOf (turn, received, *route);
+
+    if (const auto* refused = std::get_if<AccessRefused> (&access))
+        return refuse (turn, received, refused->m_reason);
+
+    const auto* organisation = std::get_if<OrganisationAccess> (&access);
+    auto request = makeRequest (turn, received, *route,
+                                organisation != nullptr ? organisation->m_organisation : nullptr);
     needServicesOf (request);
 
     if (isStopping() && ! request.m_isNested && turn.now() - *m_stoppedAt > entryOpenAfterStop)
@@ -73,33 +80,50 @@
     const auto id = m_next++;
     m_byTicket[request.m_ticket] = id;
     turn.timers().set (request.m_deadline, TimerKind::relayDeadline, id);
-    m_retries.onRequest (request, turn.now());
     m_requests.emplace (id, std::move (request));
-    send (turn, id);
+    begin (turn, id);
+}
+
+Access RelayEntry::accessOf (Turn& turn, const RelayRequestReceived& received, const Route& route) const
+{
+    const bool isOwnTargetsCall = received.m_credential.m_kind == CredentialKind::none &&
+                                  m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)).has_value();
+    return judgeAccess (
+        m_parts.m_routes.table().organisations(),
+        { route, received.m_credential, isOwnTargetsCall, m_parts.m_keys.isProven (turn.now()) });
 }
 
 RelayEntry::Request RelayEntry::makeRequest (Turn& turn, const RelayRequestReceived& received,
-                                             const Route& route)
+                                             const Route& route, const Organisation* organisation)
 {
+    const auto& routes = m_parts.m_routes.table();
     Request request;
     request.m_ticket = received.m_ticket;
     request.m_content = received.m_content;
     request.m_route = route;
+    request.m_route.m_priority = routes.priorityOf (route, organisation);
     request.m_service = m_shares.next (route);
-    request.m_urgency = static_cast<std::uint16_t> (route.m_priority);
+    request.m_urgency = static_cast<std::uint16_t> (request.m_route.m_priority);
     request.m_receivedAt = turn.now();
     request.m_chainStartedAt = turn.now();
 
-    if (const auto running = m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)))
+    if (organisation != nullptr)
     {
-        const auto& parent = running->m_request;
-        request.m_isNested = true;
-        request.m_urgency = parent.m_urgency;
-        request.m_isOfRepeat = parent.m_isRepeat;
-        request.m_chainStartedAt = running->m_chainStartedAt;
-        m_parts.m_gate.onNestedCall (parent.m_route, route.m_name, request.m_service);
+        request.m_organisation = organisation->m_name;
+
+        if (const auto holds = m_parts.m_keys.holdsFor (turn.now()); holds.has_value())
+            request.m_keyHoldsUntil = turn.now() + *holds;
     }
 
+    // Where keys are declared they are for this system, and none goes any further.
+    if (! routes.organisations().areDeclared())
+        request.m_content.m_headers.insert (request.m_content.m_headers.end(),
+                                            received.m_credentialHeaders.begin(),
+                                            received.m_credentialHeaders.end());
+
+    if (const auto running = m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)))
+        joinChain (request, *running);
+
     request.m_deadline = turn.now() + std::min (received.m_timeout.value_or (usualTimeout), route.m_timeout);
 
     request.m_longestToBegin = Duration (static_cast<Duration::rep> (
@@ -110,6 +134,49 @@
     return request;
 }
 
+/** The request is a call of one that runs at the own target. */
+void RelayEntry::joinChain (Request& request, const TargetGate::Running& running)
+{
+    const auto& parent = running.m_request;
+    request.m_isNested = true;
+    request.m_urgency = parent.m_urgency;
+    request.m_isOfRepeat = parent.m_isRepeat;
+    request.m_chainStartedAt = running.m_chainStartedAt;
+    m_parts.m_gate.onNestedCall (parent.m_route, request.m_route.m_name, request.m_service);
+}
+
+//==============================================================================
+/** Sends a request for the first time, if its organisation may send one more. */
+void RelayEntry::begin (Turn& turn, CallId id)
+{
+    auto& request = m_requests.at (id);
+    const auto judgement = m_parts.m_limits.ask (turn, request.m_organisation, id);
+    request.m_isJudged = false;
+
+    if (judgement.has_value())
+        onJudged (turn, id, *judgement);
+}
+
+void RelayEntry::onJudged (Turn& turn, CallId id, const OrganisationLimits::Judgement& judgement)
+{
+    const auto found = m_requests.find (id);
+
+    if (found == m_requests.end() || found->second.m_isJudged)
+        return;
+
+    auto& request = found->second;
+    request.m_isJudged = true;
+
+    if (judgement.m_verdict == LimitVerdict::within)
+    {
+        m_retries.onRequest (request, turn.now());
+        return send (turn, id);
+    }
+
+    const bool isBeyond = judgement.m_verdict == LimitVerdict::beyond;
+    giveUp (turn, id, isBeyond ? Reason::beyondLimit : Reason::limitUnknown, judgement.m_wait);
+}
+
 /** Contact is kept with the services that a request reaches, also by its calls: how they are decides whether
    it is admitted. */
 void RelayEntry::needServicesOf (const Request& request)
@@ -170,6 +237,10 @@
     auto& request = m_requests.at (id);
     const auto& instance = peer.m_member.m_id.m_instance;
     const auto now = turn.now();
+
+    if (request.m_keyHoldsUntil.has_value() && now >= *request.m_keyHoldsUntil)
+        return giveUp (turn, id, Reason::keyUnproven);
+
     request.m_instance = instance;
     request.m_call = m_next++;
     request.m_isHeld = false;
@@ -183,6 +254,11 @@
     message.m_service = request.m_service;
     message.m_callerService = m_self.m_service;
     message.m_route = request.m_route.m_name;
+    message.m_organisation = request.m_organisation;
+
+    if (request.m_keyHoldsUntil.has_value())
+        message.m_keyHoldsFor = *request.m_keyHoldsUntil - now;
+
     message.m_urgency = request.m_urgency;
     message.m_isRepeat = request.m_isOfRepeat || request.m_arrivals > 0;
     message.m_isNested = request.m_isNested;
@@ -438,14 +514,15 @@
     giveUp (turn, id, Reason::deadlineExceeded);
 }
 
-void RelayEntry::giveUp (Turn& turn, CallId id, Reason reason)
+void RelayEntry::giveUp (Turn& turn, CallId id, Reason reason, Duration comeBack)
 {
     auto& request = m_requests.at (id);
     const auto now = turn.now();
     RelayResult result { request.m_mayHaveRun ? Outcome::unknown : Outcome::notRun, reason, {}, {} };
 
     if (! request.m_mayHaveRun)
-        result.m_comeBack = comeBackAfter (turn, request.m_deadline - now);
+        result.m_comeBack =
+            comeBack > Duration::zero() ? comeBack : comeBackAfter (turn, request.m_deadline - now);
 
     ++turn.counters().m_systemAnswers[reason];
     turn.emit (detail::logGivenUp (request, result.m_outcome, reason, now));
@@ -458,6 +535,7 @@
     const auto& request = node.mapped();
     m_byTicket.erase (request.m_ticket);
     m_held.erase (id);
+    m_parts.m_limits.forget (id);
     turn.timers().cancel (request.m_deadline, TimerKind::relayDeadline, id);
     ++turn.counters().m_outcomes[static_cast<std::size_t> (result.m_outcome)];
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "plankledge_policy/Turn.h"
+#include "plankledge_policy/relay/access/AccessCheck.h"
+#include "plankledge_policy/relay/access/KeyGuard.h"
 #include "plankledge_policy/relay/entry/EntryAdmission.h"
 #include "plankledge_policy/relay/entry/EntryRequest.h"
 #include "plankledge_policy/relay/entry/RetryPolicy.h"
 #include "plankledge_policy/relay/entry/ServiceShares.h"
 #include "plankledge_policy/relay/gate/TargetGate.h"
+#include "plankledge_policy/relay/limits/OrganisationLimits.h"
 #include "plankledge_policy/relay/routes/RouteFollower.h"
 
 #include <functional>
@@ -39,6 +42,8 @@
         PeerTable& m_peers;
         CallGraph& m_calls;
         TargetGate& m_gate;
+        const KeyGuard& m_keys;
+        OrganisationLimits& m_limits;
         std::function<void (const ServiceName&)> m_need; /**< a request needs a service: contact is kept */
     };
 
@@ -66,6 +71,9 @@
     /** Tries again what waits for a target. */
     void retryHeld (Turn& turn);
 
+    /** Whether a request is within its organisation's limit is known now. */
+    void onJudged (Turn& turn, CallId id, const OrganisationLimits::Judgement& judgement);
+
     void onPause (Time now) noexcept;
 
     /** The process is to end: connections are not kept. */
@@ -80,7 +88,11 @@
     using Request = detail::EntryRequest;
 
     void refuse (Turn& turn, const RelayRequestReceived& received, Reason reason);
-    Request makeRequest (Turn& turn, const RelayRequestReceived& received, const Route& route);
+    Access accessOf (Turn& turn, const RelayRequestReceived& received, const Route& route) const;
+    Request makeRequest (Turn& turn, const RelayRequestReceived& received, const Route& route,
+                         const Organisation* organisation);
+    void joinChain (Request& request, const TargetGate::Running& running);
+    void begin (Turn& turn, CallId id);
     bool admit (Turn& turn, Request& request, Duration timeout);
     void needServicesOf (const Request& request);
 
@@ -91,7 +103,10 @@
     void detach (Request& request);
     void withdraw (Turn& turn, Request& request);
     void onNotAnswered (Turn& turn, CallId id, const RelayResult& result);
-    void giveUp (Turn& turn, CallId id, Reason reason);
+
+    /** @param comeBack   when the sender is to ask again; zero: by the time that it waits */
+    void giveUp (Turn& turn, CallId id, Reason reason, Duration comeBack = {});
+
     void finish (Turn& turn, CallId id, RelayResult result);
     Duration comeBackAfter (Turn& turn, Duration timeLeft) const;
     bool isStopping() const noexcept { return m_stoppedAt.has_value(); }
--- a/modules/plankledge_policy/relay/gate/GateCall.h
+++ b/modules/plankledge_policy/relay/gate/GateCall.h
@@ -3,6 +3,7 @@
 #include "plankledge_core/RelayMessages.h"
 
 #include <compare>
+#include <optional>
 
 namespace plankledge
 {
@@ -29,10 +30,17 @@
     Time m_chainStartedAt;
     Time m_deadline;
     Time m_dispatchedAt;
-    Time m_holdEnd;          /**< it is refused if it has no slot by then */
-    Duration m_slotTime {};  /**< that it is expected to hold a slot */
-    bool m_hasBegun = false; /**< the target has worked for its chain already */
+    std::optional<Time> m_keyHoldsUntil {}; /**< it may not be dispatched later; nullopt: no such bound */
+    Time m_holdEnd;                         /**< it is refused if it has no slot by then */
+    Duration m_slotTime {};                 /**< that it is expected to hold a slot */
+    bool m_hasBegun = false;                /**< the target has worked for its chain already */
     bool m_isDispatched = false;
+
+    /** @returns whether the word of the request's entry that its key is valid still counts */
+    bool holdsKeyAt (Time now) const noexcept
+    {
+        return ! m_keyHoldsUntil.has_value() || now < *m_keyHoldsUntil;
+    }
 };
 
 } // namespace detail
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -102,6 +102,10 @@
     call.m_receivedAt = turn.now();
     call.m_chainStartedAt = turn.now() - call.m_request.m_chainAge;
     call.m_deadline = turn.now() + call.m_request.m_timeLeft;
+
+    if (call.m_request.m_keyHoldsFor.has_value())
+        call.m_keyHoldsUntil = turn.now() + *call.m_request.m_keyHoldsFor;
+
     call.m_slotTime = m_slotTimes.of (call.m_request.m_route);
     call.m_hasBegun = call.m_request.m_isNested && m_begun.contains (call.m_request.m_content.m_id);
     // Under overload a chain that waits for its first slot has too little time left for its other calls: of
@@ -150,6 +154,9 @@
     if (call.m_deadline <= turn.now())
         return Reason::deadlineExceeded;
 
+    if (! call.holdsKeyAt (turn.now()))
+        return Reason::keyUnproven;
+
     if (m_queue.size() >= limit() * mostQueuedRounds)
         return Reason::queueFull;
 
@@ -162,6 +169,14 @@
     while (m_isOpen && m_running < limit() && ! m_queue.empty())
     {
         const auto id = m_queue.begin()->second;
+
+        // Checked where it leaves: a process that stood still goes on with what waited meanwhile.
+        if (! m_calls.at (id).holdsKeyAt (turn.now()))
+        {
+            finish (turn, id, refusal (Reason::keyUnproven));
+            continue;
+        }
+
         m_queue.erase (m_queue.begin());
         m_queuedWork -= m_calls.at (id).m_slotTime;
         dispatch (turn, id);
@@ -184,7 +199,7 @@
         turn.emit (detail::logDispatched (call, m_target.id(), m_running));
 
     turn.emit (RelayToTarget { id, request.m_content, request.m_callerService, m_target.id(),
-                               m_target.endpoint(), call.m_deadline - turn.now() });
+                               m_target.endpoint(), call.m_deadline - turn.now(), request.m_organisation });
 }
 
 //==============================================================================
--- a/modules/plankledge_policy/relay/routes/RouteFollower.cpp
+++ b/modules/plankledge_policy/relay/routes/RouteFollower.cpp
@@ -20,10 +20,10 @@
 {
 }
 
-void RouteFollower::onText (Turn& turn, const std::string& text, const std::string& source)
+bool RouteFollower::onText (Turn& turn, const std::string& text, const std::string& source)
 {
     if (text == m_text)
-        return;
+        return true;
 
     auto table = m_parser (text);
 
@@ -34,11 +34,11 @@
             LogDecision { Decision::routesInvalid,
                           {},
                           { { "source", source }, { "error", std::string (table.status().message()) } } });
-        return;
+        return false;
     }
 
     if (table->version() <= version())
-        return;
+        return true;
 
     turn.emit (LogDecision { Decision::routesInForce,
                              {},
@@ -48,6 +48,7 @@
     m_table = *std::move (table);
     m_text = text;
     m_onInForce();
+    return true;
 }
 
 void RouteFollower::onPeerVersion (Turn& turn, const InstanceName& peer, const Endpoint& endpoint,
--- a/modules/plankledge_policy/relay/routes/RouteFollower.h
+++ b/modules/plankledge_policy/relay/routes/RouteFollower.h
@@ -25,8 +25,9 @@
     /** Takes in the text of a version, whoever had it.
 
         @param source   for the log: "store" or a peer's instance
+        @returns whether it could be read
     */
-    void onText (Turn& turn, const std::string& text, const std::string& source);
+    bool onText (Turn& turn, const std::string& text, const std::string& source);
 
     /** A peer said which version it has in force. */
     void onPeerVersion (Turn& turn, const InstanceName& peer, const Endpoint& endpoint,
--- a/modules/plankledge_policy/relay/routes/RouteTable.cpp
+++ b/modules/plankledge_policy/relay/routes/RouteTable.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/** Priorities of organisations and routes are told apart up to here; less urgent ones count as this. */
+constexpr std::uint32_t mostPriorities = 256;
+
 template <class Value> void sortUnique (std::vector<Value>& values)
 {
     std::sort (values.begin(), values.end());
@@ -16,15 +19,16 @@
 
 } // namespace
 
-RouteTable::RouteTable (ConfigurationVersion version, Hosts hosts)
+RouteTable::RouteTable (ConfigurationVersion version, Hosts hosts, Organisations organisations)
     : m_version (version)
     , m_hosts (std::move (hosts))
+    , m_organisations (std::move (organisations))
 {
     for (const auto& [host, routes] : m_hosts)
     {
         for (const auto& [prefix, route] : routes)
         {
-            m_priorities.push_back (route.m_priority);
+            notePriorities (route);
 
             for (const auto& part : route.m_services)
                 m_services.push_back (part.m_service);
@@ -35,6 +39,26 @@
     sortUnique (m_services);
 }
 
+void RouteTable::notePriorities (const Route& route)
+{
+    if (route.m_isPublic || ! m_organisations.areDeclared())
+        return m_priorities.push_back (priorityOf (route, nullptr));
+
+    for (const auto& organisation : m_organisations.all())
+        m_priorities.push_back (priorityOf (route, &organisation));
+}
+
+std::uint32_t RouteTable::priorityOf (const Route& route, const Organisation* organisation) const noexcept
+{
+    if (! m_organisations.areDeclared())
+        return route.m_priority;
+
+    const auto own = std::min (route.m_priority, mostPriorities - 1);
+    const auto first =
+        organisation != nullptr ? std::min (organisation->m_priority, mostPriorities - 1) : own;
+    return first * mostPriorities + own;
+}
+
 const Route* RouteTable::find (std::string_view host, std::string_view path) const noexcept
 {
     const auto routes = m_hosts.find (host);
--- a/modules/plankledge_policy/relay/routes/RouteTable.h
+++ b/modules/plankledge_policy/relay/routes/RouteTable.h
@@ -2,6 +2,7 @@
 
 #include "plankledge_core/Declarations.h"
 #include "plankledge_core/RelayMessages.h"
+#include "plankledge_policy/relay/access/Organisations.h"
 
 #include <absl/status/statusor.h>
 #include <functional>
@@ -33,6 +34,7 @@
     Duration m_latencyObjective {};   /**< an answer by then is worth most */
     std::uint32_t m_mostAttempts = 1; /**< targets that one request may reach */
     std::vector<WeightedService> m_services;
+    bool m_isPublic = true; /**< its requests need no key */
 
     auto operator<=> (const Route&) const = default;
 };
@@ -48,7 +50,7 @@
 
     RouteTable() = default;
 
-    RouteTable (ConfigurationVersion version, Hosts hosts);
+    RouteTable (ConfigurationVersion version, Hosts hosts, Organisations organisations = {});
 
     ConfigurationVersion version() const noexcept { return m_version; }
 
@@ -61,6 +63,17 @@
     /** @returns all services that routes lead to, sorted */
     const std::vector<ServiceName>& services() const noexcept { return m_services; }
 
+    const Organisations& organisations() const noexcept { return m_organisations; }
+
+    /** Where organisations are declared, their priority takes the place of the routes', and among the
+       requests of equally urgent organisations the route's own decides: within what an organisation may have,
+       it is best served if its lodgements come before its searches.
+
+        @param organisation   that the request is for; nullptr: it needs none
+        @returns the priority that a request is ranked by
+    */
+    std::uint32_t priorityOf (const Route& route, const Organisation* organisation) const noexcept;
+
     /** @returns the priority in use that is refused last; 0 where there are no routes */
     std::uint32_t mostUrgentPriority() const noexcept
     {
@@ -78,7 +91,10 @@
 private:
     //==============================================================================
     ConfigurationVersion m_version = 0;
+    void notePriorities (const Route& route);
+
     Hosts m_hosts;
+    Organisations m_organisations;
     std::vector<std::uint32_t> m_priorities; /**< those in use, sorted */
     std::vector<ServiceName> m_services;     /**< those in use, sorted */
 };
--- a/modules/plankledge_policy/relay/store/StoreFollowers.cpp
+++ b/modules/plankledge_policy/relay/store/StoreFollowers.cpp
@@ -61,7 +61,7 @@
         }
         else
         {
-            chosen.m_others.push_back (peer);
+            chosen.m_others.push_back (peer->m_member.m_id.m_instance);
         }
 
         if (! isSelf && isGone (*peer, now))
--- a/modules/plankledge_policy/relay/store/StoreFollowers.h
+++ b/modules/plankledge_policy/relay/store/StoreFollowers.h
@@ -34,8 +34,8 @@
     struct Chosen
     {
         bool m_isSelf = false;
-        bool m_isFirst = false;            /**< this node, and none before it that the store answers */
-        std::vector<const Peer*> m_others; /**< in their order, those that can't be reached included */
+        bool m_isFirst = false;             /**< this node, and none before it that the store answers */
+        std::vector<InstanceName> m_others; /**< in their order, those that can't be reached included */
     };
 
     explicit StoreFollowers (const Member& self);
--- a/modules/plankledge_policy/relay/store/StoreSync.cpp
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -29,6 +29,16 @@
    find a silent one within the time in which a change must be in force. */
 constexpr Duration followerPeriod = std::chrono::seconds (1);
 
+/** The reads of the one follower of a zone that has to notice a silent store wait so long. Reads into the
+    silence are not answered after it either, so their time must run out, and a next one be answered, within 3
+   s of its end: after that a change counts as late where it is not in force. */
+constexpr Duration watchfulRead = Milliseconds (1500);
+
+/** The same, and how long the store may fail, where keys have to be proven: another must read before the
+   proof is too old. With 1 s a zone's proof was up to 4.2 s old when its first follower met a silent store.
+ */
+constexpr Duration patienceForProofs = Milliseconds (300);
+
 /** Between two hellos to a follower that does not answer; sooner while this node has nothing to go by. */
 constexpr Duration askAgainAfter = Milliseconds (700);
 constexpr Duration askAgainWithoutRoutes = Milliseconds (150);
@@ -70,14 +80,14 @@
     if (m_book.end() >= 0)
         return; // told by a node that was sooner
 
-    turn.emit (ReadTopic { StoreTopic::members, TopicReading::once, -1 });
+    turn.emit (ReadTopic { StoreTopic::members, TopicReading::once, -1, {} });
 }
 
 //==============================================================================
 void StoreSync::onTick (Turn& turn, bool areRoutesKnown)
 {
     listWhenDue (turn);
-    m_isReached = ! m_lostSince.has_value() || turn.now() - *m_lostSince <= patience;
+    m_isReached = ! m_lostSince.has_value() || turn.now() - *m_lostSince <= patienceWithStore();
     m_chosen = m_followers.choose (m_peers, m_isReached, turn.now());
     noteFollowers (turn.now());
 
@@ -89,12 +99,41 @@
     withdrawDead (turn);
 }
 
+Duration StoreSync::patienceWithStore() const noexcept
+{
+    return m_longestRead > Duration::zero() ? patienceForProofs : patience;
+}
+
+/** Peers may have been forgotten since they were chosen. */
+std::vector<const Peer*> StoreSync::chosenPeers() const
+{
+    std::vector<const Peer*> result;
+
+    for (const auto& instance : m_chosen.m_others)
+        if (const auto* peer = m_peers.find (instance))
+            result.push_back (peer);
+
+    return result;
+}
+
+const Peer* StoreSync::watcher() const
+{
+    if (isWatching())
+        return nullptr;
+
+    for (const auto* peer : chosenPeers())
+        if (peer->m_isHeard && peer->m_store.m_isFollowing && peer->m_store.m_isReached)
+            return peer;
+
+    return nullptr;
+}
+
 void StoreSync::noteFollowers (Time now)
 {
     if (m_isFollowing && m_isReached)
         m_readerSeenAt = now;
 
-    for (const auto* peer : m_chosen.m_others)
+    for (const auto* peer : chosenPeers())
     {
         if (! peer->m_isHeard || ! peer->m_store.m_isFollowing)
             continue;
@@ -106,15 +145,18 @@
 
 void StoreSync::setFollowing (Turn& turn, bool isFollowing, bool isWatchful, const char* reason)
 {
-    if (isFollowing == m_isFollowing && (! isFollowing || isWatchful == m_isWatchful))
+    const auto wait =
+        isWatchful ? m_longestRead > Duration::zero() ? m_longestRead : watchfulRead : Duration();
+
+    if (isFollowing == m_isFollowing && (! isFollowing || wait == m_readsWait))
         return;
 
     const bool isChange = isFollowing != m_isFollowing;
     m_isFollowing = isFollowing;
-    m_isWatchful = isWatchful;
+    m_readsWait = wait;
     const auto reading = isFollowing ? TopicReading::follow : TopicReading::rest;
-    turn.emit (ReadTopic { StoreTopic::members, reading, m_book.end(), false });
-    turn.emit (ReadTopic { StoreTopic::routes, reading, -1, isWatchful });
+    turn.emit (ReadTopic { StoreTopic::members, reading, m_book.end(), {} });
+    turn.emit (ReadTopic { StoreTopic::routes, reading, -1, wait });
 
     if (! isChange)
         return;
@@ -133,7 +175,7 @@
 
     m_routesAt = turn.now() + m_routesPause;
     m_routesPause = std::min (m_routesPause * 2, longestRoutesPause);
-    turn.emit (ReadTopic { StoreTopic::routes, TopicReading::once, -1 });
+    turn.emit (ReadTopic { StoreTopic::routes, TopicReading::once, -1, {} });
 }
 
 void StoreSync::onPause (Time now)
@@ -167,7 +209,7 @@
 
     // What was listed so far is told whole.
     if (m_book.end() < 0 && ! m_isFollowing)
-        turn.emit (ReadTopic { StoreTopic::members, TopicReading::rest, -1 });
+        turn.emit (ReadTopic { StoreTopic::members, TopicReading::rest, -1, {} });
 
     const MembersRead read { told.m_members, told.m_withdrawn, {}, told.m_end };
     m_book.take (read);
@@ -196,7 +238,7 @@
     std::vector<const Peer*> result;
     const auto again = areRoutesKnown ? askAgainAfter : askAgainWithoutRoutes;
 
-    for (const auto* peer : m_chosen.m_others)
+    for (const auto* peer : chosenPeers())
     {
         const bool isDue = peer->m_askedAt.has_value() ? now - peer->m_lastAskedAt >= again
                                                        : now - peer->m_gateAt >= followerPeriod;
--- a/modules/plankledge_policy/relay/store/StoreSync.h
+++ b/modules/plankledge_policy/relay/store/StoreSync.h
@@ -46,6 +46,16 @@
     */
     void onTick (Turn& turn, bool areRoutesKnown);
 
+    /** How long reads of the routes by the watchful follower may wait where proofs of the newest version are
+        needed; zero: as long as a change of the store's state must be noticed. */
+    void setLongestRead (Duration wait) noexcept { m_longestRead = wait; }
+
+    /** @returns whether this node reads the store for its zone */
+    bool isWatching() const noexcept { return m_isFollowing && m_readsWait > Duration::zero(); }
+
+    /** @returns the other node that does; nullptr: none is known */
+    const Peer* watcher() const;
+
     /** This process stood still: silence meanwhile says nothing of the peers. */
     void onPause (Time now);
 
@@ -75,6 +85,8 @@
 private:
     //==============================================================================
     void setFollowing (Turn& turn, bool isFollowing, bool isWatchful, const char* reason);
+    Duration patienceWithStore() const noexcept;
+    std::vector<const Peer*> chosenPeers() const;
     void noteFollowers (Time now);
     void readRoutesOnce (Turn& turn, bool areRoutesKnown);
     void listWhenDue (Turn& turn);
@@ -98,7 +110,8 @@
     Time m_routesAt;              /**< when routes may be asked of the store again */
     Duration m_routesPause {};    /**< until then, the next time */
     bool m_isFollowing = false;
-    bool m_isWatchful = false; /**< while following: for the zone, the other followers need not be */
+    Duration m_longestRead {}; /**< of the watchful follower */
+    Duration m_readsWait {};   /**< while following: of this node's reads; zero: any, another is watchful */
     bool m_isReached = true;
     bool m_isPublished = false;
 };
--- a/modules/plankledge_runtime/LinkTraffic.cpp
+++ b/modules/plankledge_runtime/LinkTraffic.cpp
@@ -8,7 +8,7 @@
 std::string_view nameOf (FrameKind kind) noexcept
 {
     constexpr std::array<std::string_view, static_cast<std::size_t> (FrameKind::frameKindCount)> names {
-        "hello", "status", "request", "answer", "cancel", "routes", "members", "keyed"
+        "hello", "status", "request", "answer", "cancel", "routes", "members", "proof", "limit", "keyed"
     };
     return names[static_cast<std::size_t> (kind)];
 }
@@ -27,6 +27,10 @@
     FrameKind operator() (const RoutesText&) const noexcept { return FrameKind::routes; }
     FrameKind operator() (const MembersPull&) const noexcept { return FrameKind::members; }
     FrameKind operator() (const MembersTold&) const noexcept { return FrameKind::members; }
+    FrameKind operator() (const ProofQuestion&) const noexcept { return FrameKind::proof; }
+    FrameKind operator() (const ProofAnswer&) const noexcept { return FrameKind::proof; }
+    FrameKind operator() (const LimitQuestion&) const noexcept { return FrameKind::limit; }
+    FrameKind operator() (const LimitAnswer&) const noexcept { return FrameKind::limit; }
     template <class Other> FrameKind operator() (const Other&) const noexcept { return FrameKind::keyed; }
 };
 
--- a/modules/plankledge_runtime/LinkTraffic.h
+++ b/modules/plankledge_runtime/LinkTraffic.h
@@ -18,6 +18,8 @@
     cancel,
     routes,
     members,
+    proof,
+    limit,
     keyed, /**< of requests that are named by a key */
     frameKindCount
 };
--- a/modules/plankledge_wire/FrameCodec.cpp
+++ b/modules/plankledge_wire/FrameCodec.cpp
@@ -84,6 +84,11 @@
         return answer.m_result.m_outcome <= Outcome::unknown &&
                answer.m_result.m_reason < Reason::reasonCount;
     }
+    bool operator() (const LimitAnswer& answer) const noexcept
+    {
+        return answer.m_verdict <= LimitVerdict::unknown;
+    }
+
     bool operator() (const LeaveNotice& notice) const noexcept { return areValid (notice.m_members); }
 
     bool operator() (const Handover& handover) const noexcept
--- a/tests/contracts/BadInput_test.cpp
+++ b/tests/contracts/BadInput_test.cpp
@@ -97,6 +97,12 @@
     WireError m_error;
 };
 
+/** @returns the version that frames and datagrams begin with, as it goes over the wire */
+std::string versionBytes()
+{
+    return { static_cast<char> (protocolVersion & 0xFF), static_cast<char> (protocolVersion >> 8) };
+}
+
 std::vector<RawRow> badFrames()
 {
     const Frame good { protocolVersion, { "stranger", 1 }, "n1", CallRequest {} };
@@ -110,7 +116,7 @@
         { "another version", encodeFrame (wrongVersion), WireError::wrongVersion },
         { "for another instance", encodeFrame (elsewhere), WireError::wrongReceiver },
         { "zeros", std::string (64, '\0'), WireError::truncated },
-        { "a frame of noise", std::string ("\x08\0\0\0\x01\0noise!", 12), WireError::malformed },
+        { "a frame of noise", std::string ("\x08\0\0\0", 4) + versionBytes() + "noise!", WireError::malformed },
     };
 }
 
@@ -200,7 +206,7 @@
     const auto endpoint = fixture.m_cluster.endpoint ("n1", 7001);
     sendDatagram (endpoint, "noise");
     sendDatagram (endpoint, std::string (1900, 'x'));
-    sendDatagram (endpoint, std::string ("\x01\0", 2));
+    sendDatagram (endpoint, versionBytes());
     CHECK (waitFor ([&] { return fixture.count ("bad_datagrams_total", "wrong-version") == 1; }));
     CHECK (waitFor ([&] { return fixture.count ("bad_datagrams_total", "too-large") == 1; }));
     CHECK (waitFor ([&] { return fixture.count ("bad_datagrams_total", "malformed") == 1; }));
--- a/tests/platform/BadRecordsFuzz_test.cpp
+++ b/tests/platform/BadRecordsFuzz_test.cpp
@@ -43,6 +43,12 @@
     R"("weightedClusters":[{"service":"huvo","weight":90},{"service":"lovo","weight":10}],"timeoutS":1.5,)"
     R"("maxAttempts":2}}]}],"clusters":[{"name":"huvo"},{"name":"lovo"}]})";
 
+const std::string organisations =
+    R"({"version":"r7","tenants":[{"name":"pulo780","apiKeys":["28m82thhkmgj","gjy5rcpihhac"],"priority":1,)"
+    R"("ratePerS":311,"burst":311},{"name":"pulo781","apiKeys":["k3"],"ratePerS":1.5,"burst":2}],)"
+    R"("listeners":[{"host":"a.example","ruleSet":[{"name":"r1","public":false,"match":{"pathPrefix":"/p/"},)"
+    R"("action":{"service":"huvo"}}]}]})";
+
 /** Changes a text in one to four places: a byte, a piece left out, doubled or moved, a number put in. */
 class Spoiler
 {
@@ -182,6 +188,49 @@
     }
 }
 
+TEST_CASE ("spoiled organisations are refused, or have names, and each key belongs to one")
+{
+    Spoiler spoiler (6);
+    REQUIRE (parseRoutes (organisations).ok());
+
+    for (unsigned trial = 0; trial < trials() / 4; ++trial)
+    {
+        const auto text = spoiler.spoil (organisations);
+        CAPTURE (text);
+        const auto table = parseRoutes (text);
+
+        if (! table.ok())
+            continue;
+
+        for (const auto& organisation : table->organisations().all())
+        {
+            REQUIRE_FALSE (organisation.m_name.empty());
+            REQUIRE (organisation.m_limit.value_or (RequestLimit {}).m_perSecond >= 0.0);
+            REQUIRE (organisation.m_limit.value_or (RequestLimit {}).m_burst >= 0.0);
+
+            for (const auto& key : organisation.m_keys)
+                REQUIRE (*table->organisations().ofKey (key) == organisation);
+        }
+    }
+}
+
+TEST_CASE ("of spoiled credentials none reaches a target")
+{
+    Spoiler spoiler (7);
+
+    for (unsigned trial = 0; trial < trials(); ++trial)
+    {
+        HttpRequest request;
+        request.m_headers = { { "Request-Id", "id" },
+                              { "Authorization", spoiler.spoil ("Bearer 28m82thhkmgjqnirth5m") },
+                              { "Tenant-Id", spoiler.spoil ("liar") } };
+        const auto decoded = decodeRequest (request);
+        const auto& received = std::get<RelayRequestReceived> (decoded);
+        REQUIRE (received.m_content.m_headers.empty());
+        REQUIRE (received.m_credential.m_key.size() <= 512);
+    }
+}
+
 TEST_CASE ("spoiled frames about members and the store are refused, or are whole")
 {
     Spoiler spoiler (5);
@@ -189,7 +238,12 @@
     const PeerMessage messages[] = { PeerHello { member, 3, {}, {}, true, { 17, true, true } },
                                      PeerStatus {
                                          3, {}, { { "route", Milliseconds (5) } }, std::nullopt, {} },
-                                     MembersPull { 12 }, MembersTold { { member }, { "node-2" }, 18 } };
+                                     MembersPull { 12 },
+                                     MembersTold { { member }, { "node-2" }, 18 },
+                                     ProofQuestion { Milliseconds (5) },
+                                     ProofAnswer { Milliseconds (5), 3, Milliseconds (9) },
+                                     LimitQuestion { 7, "pulo780" },
+                                     LimitAnswer { 7, LimitVerdict::beyond, Milliseconds (4) } };
 
     for (unsigned trial = 0; trial < trials(); ++trial)
     {
--- /dev/null
+++ b/tests/platform/Credentials_test.cpp
@@ -0,0 +1,220 @@
+/*  What a hostile sender may show as a key, or say of whom it speaks for, byte by byte at the socket: none of
+   it reaches a target, and only what is one whole key counts as one. */
+
+#include "plankledge_runtime/HttpServer.h"
+#include "platform/HttpDialect.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <thread>
+
+namespace plankledge::test
+{
+
+using namespace plankledge::platform;
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+Endpoint freeEndpoint()
+{
+    asio::io_context context;
+    tcp::acceptor acceptor (context, { asio::ip::make_address ("127.0.0.1"), 0 });
+    return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+/** Answers each request with the headers that a target would get of it; the status says how its key was read.
+ */
+struct EchoServer
+{
+    EchoServer()
+        : m_server (m_context, { [] (HttpRequest request, const HttpServer::Respond& respond) {
+                                    respond (echo (std::move (request)));
+                                    return std::function<void()>();
+                                },
+                                 [] (HttpServerError) {
+                                     HttpResponse response;
+                                     response.m_status = 400;
+                                     return response;
+                                 } })
+        , m_endpoint (freeEndpoint())
+    {
+        REQUIRE (m_server.listen (m_endpoint).ok());
+        m_thread = std::thread ([this] { m_context.run_for (std::chrono::seconds (20)); });
+    }
+
+    ~EchoServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    static HttpResponse echo (HttpRequest request)
+    {
+        auto decoded = decodeRequest (std::move (request));
+
+        if (auto* refused = std::get_if<HttpResponse> (&decoded))
+            return *refused;
+
+        const auto& received = std::get<RelayRequestReceived> (decoded);
+        HttpResponse response;
+        response.m_status =
+            static_cast<std::uint16_t> (200 + static_cast<int> (received.m_credential.m_kind));
+        response.m_body = received.m_credential.m_key + "\n";
+        const auto sent = encodeTargetRequest (
+            { 1, received.m_content, "web", "i-1", { "10.0.0.1", 1 }, Milliseconds (9), "org" });
+
+        for (const auto& [name, value] : sent.m_headers)
+            response.m_body += name + ": " + value + "\n";
+
+        return response;
+    }
+
+    std::string ask (const std::string& bytes) const
+    {
+        asio::io_context context;
+        tcp::socket socket (context);
+        socket.connect ({ asio::ip::make_address (m_endpoint.m_ip), m_endpoint.m_port });
+        boost::system::error_code error;
+        asio::write (socket, asio::buffer (bytes), error);
+        socket.shutdown (tcp::socket::shutdown_send, error);
+        std::string answer;
+        asio::read (socket, asio::dynamic_buffer (answer), error);
+        return answer;
+    }
+
+    asio::io_context m_context { 1 };
+    HttpServer m_server;
+    Endpoint m_endpoint;
+    std::thread m_thread;
+};
+
+constexpr const char* key = "28m82thhkmgjqnirth5m";
+const int keyRead = 201;
+const int malformed = 202;
+const int noKey = 200;
+const int notHttp = 400;
+
+std::string withHeaders (const std::string& headers)
+{
+    return "GET /a/b HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id\r\nConnection: close\r\n" + headers +
+           "\r\n";
+}
+
+struct Row
+{
+    const char* m_name;
+    std::string m_bytes;
+    std::vector<int> m_statuses; /**< any of these */
+};
+
+int statusOf (const std::string& answer)
+{
+    return answer.size() > 12 ? std::stoi (answer.substr (9, 3)) : 0;
+}
+
+} // namespace
+
+TEST_CASE ("keys as hostile senders show them")
+{
+    const EchoServer server;
+    const std::string bearer = std::string ("Authorization: Bearer ") + key;
+    const std::string chunked =
+        "POST /a/b HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id\r\nConnection: close\r\n" + bearer +
+        "\r\nTransfer-Encoding: chunked\r\nTrailer: Tenant-Id\r\n\r\n1\r\nx\r\n0\r\nTenant-Id: liar\r\n\r\n";
+
+    const std::vector<Row> rows {
+        { "a key", withHeaders (bearer + "\r\n"), { keyRead } },
+        { "the scheme in lower case",
+          withHeaders (std::string ("authorization: bearer ") + key + "\r\n"),
+          { keyRead } },
+        { "blanks around it",
+          withHeaders (std::string ("Authorization:   Bearer    ") + key + "  \r\n"),
+          { keyRead } },
+        { "none", withHeaders (""), { noKey } },
+        { "two, alike", withHeaders (bearer + "\r\n" + bearer + "\r\n"), { malformed } },
+        { "two, in other letters",
+          withHeaders (bearer + "\r\nAUTHORIZATION: Bearer other\r\n"),
+          { malformed } },
+        { "two in one", withHeaders (bearer + ", Bearer other\r\n"), { malformed } },
+        { "another scheme",
+          withHeaders (std::string ("Authorization: Basic ") + key + "\r\n"),
+          { malformed } },
+        { "no scheme", withHeaders (std::string ("Authorization: ") + key + "\r\n"), { malformed } },
+        { "a scheme and no key", withHeaders ("Authorization: Bearer \r\n"), { malformed } },
+        { "no value", withHeaders ("Authorization:\r\n"), { malformed } },
+        { "a blank within", withHeaders (bearer + " x\r\n"), { malformed } },
+        { "bytes that are no text",
+          withHeaders ("Authorization: Bearer \x80\xff\xfe\r\n"),
+          { malformed, notHttp } },
+        { "600 characters",
+          withHeaders ("Authorization: Bearer " + std::string (600, 'k') + "\r\n"),
+          { malformed } },
+        { "16 KB", withHeaders ("Authorization: Bearer " + std::string (16384, 'k') + "\r\n"), { notHttp } },
+        { "a folded line",
+          withHeaders (std::string ("Authorization: Bearer\r\n ") + key + "\r\n"),
+          { keyRead, malformed, notHttp } },
+        { "an organisation", withHeaders (bearer + "\r\nTenant-Id: liar\r\n"), { keyRead } },
+        { "an organisation twice, in other letters",
+          withHeaders (bearer + "\r\ntenant-id: liar\r\nTENANT-ID: liar\r\n"),
+          { keyRead } },
+        { "an organisation, folded",
+          withHeaders (bearer + "\r\nTenant-Id:\r\n liar\r\n"),
+          { keyRead, notHttp } },
+        { "an organisation in a trailer", chunked, { keyRead, notHttp } },
+        { "an organisation that Connection names",
+          withHeaders (bearer + "\r\nConnection: Tenant-Id\r\nTenant-Id: liar\r\n"),
+          { keyRead } },
+    };
+
+    for (const auto& row : rows)
+    {
+        CAPTURE (row.m_name);
+        const auto answer = server.ask (row.m_bytes);
+        const auto status = statusOf (answer);
+        CHECK (std::find (row.m_statuses.begin(), row.m_statuses.end(), status) != row.m_statuses.end());
+        const auto body = answer.find ("\r\n\r\n");
+        REQUIRE (body != std::string::npos);
+
+        if (status == notHttp)
+            continue;
+
+        const auto headers = answer.substr (answer.find ('\n', body + 4));
+        CHECK (headers.find (key) == std::string::npos);
+        CHECK (headers.find ("liar") == std::string::npos);
+        CHECK (headers.find ("uthorization") == std::string::npos);
+        CHECK (headers.find ("Tenant-Id: org") != std::string::npos);
+    }
+}
+
+TEST_CASE ("who has no access hears the same, whatever is known of the key")
+{
+    const auto answerTo = [] (Reason reason) {
+        return encodeAnswer ("id", { Outcome::notRun, reason, {}, {} });
+    };
+
+    const auto unknown = answerTo (Reason::keyUnknown);
+    CHECK (unknown.m_status == 401);
+    CHECK (findHeader (unknown.m_headers, "WWW-Authenticate") == "Bearer");
+
+    for (const auto reason : { Reason::keyMissing, Reason::keyMalformed })
+    {
+        CHECK (answerTo (reason).m_status == 401);
+        CHECK (answerTo (reason).m_body == unknown.m_body);
+    }
+
+    CHECK (encodeAnswer ("id", { Outcome::notRun, Reason::keyUnproven, {}, Milliseconds (700) }).m_status ==
+           503);
+    const auto beyond = encodeAnswer ("id", { Outcome::notRun, Reason::beyondLimit, {}, Milliseconds (250) });
+    CHECK (beyond.m_status == 429);
+    CHECK (findHeader (beyond.m_headers, "Retry-After") == "0.250");
+    CHECK (encodeAnswer ("id", { Outcome::notRun, Reason::limitUnknown, {}, {} }).m_status == 503);
+}
+
+} // namespace plankledge::test
--- a/tests/platform/RoutesJson_test.cpp
+++ b/tests/platform/RoutesJson_test.cpp
@@ -78,6 +78,70 @@
     }
 }
 
+//==============================================================================
+namespace
+{
+
+std::string withOrganisations (const std::string& organisations)
+{
+    return R"({"version":"r3","tenants":)" + organisations +
+           R"(,"listeners":[{"host":"a.example","ruleSet":[)" +
+           R"({"name":"open","public":true,"match":{"pathPrefix":"/o/"},"action":{"service":"one"}},)" +
+           plainRule + "]}]}";
+}
+
+} // namespace
+
+TEST_CASE ("organisations are read, and routes need a key unless they are public")
+{
+    const auto table = parseRoutes (withOrganisations (
+        R"([{"name":"one","apiKeys":["k1","k2"],"priority":1,"ratePerS":12.5,"burst":4},)"
+        R"({"name":"two","apiKeys":["k3"],"ratePerS":0,"burst":9},{"name":"three","apiKeys":[]}])"));
+    REQUIRE (table.ok());
+    const auto& organisations = table->organisations();
+    CHECK (organisations.areDeclared());
+    REQUIRE (organisations.ofKey ("k2") != nullptr);
+    CHECK (*organisations.ofKey ("k2") ==
+           Organisation { "one", 1, RequestLimit { 12.5, 4.0 }, { "k1", "k2" } });
+    CHECK (organisations.ofKey ("k") == nullptr);
+    CHECK_FALSE (organisations.find ("two")->m_limit.has_value());
+    CHECK (organisations.find ("three")->m_keys.empty());
+    CHECK (table->find ("a.example", "/o/x")->m_isPublic);
+    CHECK_FALSE (table->find ("a.example", "/a/b/x")->m_isPublic);
+}
+
+TEST_CASE ("without a list of organisations no route needs a key; with an empty one they do")
+{
+    CHECK (parseRoutes (configuration (plainRule))->find ("a.example", "/a/b/x")->m_isPublic);
+    const auto nobody = parseRoutes (withOrganisations ("[]"));
+    REQUIRE (nobody.ok());
+    CHECK (nobody->organisations().areDeclared());
+    CHECK_FALSE (nobody->find ("a.example", "/a/b/x")->m_isPublic);
+}
+
+TEST_CASE ("a version with organisations that can't be told apart, or can't be read, is not taken")
+{
+    for (const auto* organisations :
+         { R"([{"name":"one","apiKeys":["k1"]},{"name":"two","apiKeys":["k2","k1"]}])",
+           R"([{"name":"one","apiKeys":["k1"]},{"name":"one","apiKeys":["k2"]}])", R"([{"apiKeys":["k1"]}])",
+           R"([{"name":"","apiKeys":["k1"]}])", R"([{"name":"one","apiKeys":[7]}])",
+           R"([{"name":"one","apiKeys":[""]}])", R"(["one"])", R"({"name":"one"})", R"(null)" })
+    {
+        CAPTURE (organisations);
+        const auto table = parseRoutes (withOrganisations (organisations));
+        CHECK_FALSE (table.ok());
+        CHECK (std::string (table.status().message()).find ("k1") == std::string::npos); // no key in a log
+    }
+}
+
+TEST_CASE ("numbers that fit no type count as the largest")
+{
+    const auto table = parseRoutes (withOrganisations (
+        R"([{"name":"one","apiKeys":["k1"],"priority":1e300,"ratePerS":1e300,"burst":-4}])"));
+    REQUIRE (table.ok());
+    CHECK (table->organisations().find ("one")->m_limit == RequestLimit { 1e9, 0.0 });
+}
+
 TEST_CASE ("a configuration of many routes is found through in few steps")
 {
     std::string rules = plainRule;
--- a/tests/platform/Store_test.cpp
+++ b/tests/platform/Store_test.cpp
@@ -22,7 +22,7 @@
 /** Follows a topic of the stand-in and remembers what it was told. */
 struct Follower
 {
-    Follower() { m_topic.follow (-1, false); }
+    Follower() { m_topic.follow (-1, {}); }
 
     /** Runs until the condition holds, or in vain. */
     bool runUntil (const std::function<bool()>& condition)
--- /dev/null
+++ b/tests/relay/access/KeyGuard_test.cpp
@@ -0,0 +1,319 @@
+/*  Keys that are taken away while nodes can't hear of it, in virtual time: nothing runs with them later than
+   the bound, and nodes that can know better go on. */
+
+#include "support/StoreFleet.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+constexpr Duration bound = seconds (5);
+const Credential surveyors { CredentialKind::key, "key-1" };
+const Credential council { CredentialKind::key, "key-2" };
+
+RelaySettings boundedSettings()
+{
+    RelaySettings settings;
+    settings.m_revocationBound = bound;
+    return settings;
+}
+
+RouteTable tableWith (ConfigurationVersion version, const std::vector<std::string>& surveyorsKeys)
+{
+    auto read = makeRoute ("read", "plans");
+    read.m_isPublic = false;
+    return makeTable (version, { read, makeRoute ("page", "web") },
+                      Organisations ({ { "surveyors", 0, std::nullopt, surveyorsKeys },
+                                       { "council", 0, std::nullopt, { "key-2" } } }));
+}
+
+/** Nodes that all take requests with two keys, one of which may be taken away. */
+struct KeyFleet : StoreFleet
+{
+    struct Sent
+    {
+        std::string m_id;
+        Time m_at;
+    };
+
+    explicit KeyFleet (unsigned nodes, unsigned zones)
+        : StoreFleet (nodes, zones, boundedSettings())
+    {
+        write (tableWith (1, { "key-1" }));
+        run (seconds (5));
+    }
+
+    /** Each node gets a request with each key every 100 ms, and one without that needs none. */
+    void load (Duration duration)
+    {
+        const auto end = now() + duration;
+
+        for (unsigned round = 0; now() < end; ++round)
+        {
+            for (const auto& name : names())
+            {
+                sendOne (name, "/read/x", surveyors, m_surveyors);
+                sendOne (name, "/read/x", council, m_council);
+
+                if (round % 5 == 0)
+                    sendOne (name, "/page/x", {}, m_public);
+            }
+
+            run (Milliseconds (100));
+        }
+    }
+
+    void sendOne (const InstanceName& name, const char* path, const Credential& credential,
+                  std::map<InstanceName, std::vector<std::pair<Ticket, Sent>>>& sent)
+    {
+        const auto id = "r" + std::to_string (m_nextId++);
+        sent[name].emplace_back (send (name, id, path, seconds (2), credential), Sent { id, now() });
+    }
+
+    /** @returns the longest time after the key was taken away at which a request with it was sent that ran */
+    Duration latestUse (Time takenAt) const
+    {
+        Duration latest {};
+
+        for (const auto& [name, requests] : m_surveyors)
+            for (const auto& [ticket, request] : requests)
+                if (! runsOf (request.m_id).empty())
+                    latest = std::max (latest, request.m_at - takenAt);
+
+        return latest;
+    }
+
+    /** @returns the share of a node's requests with the other key, sent since then, that were served */
+    double servedShare (const InstanceName& name, Time since) const
+    {
+        double served = 0.0;
+        double all = 0.0;
+
+        for (const auto& [ticket, request] : m_council.at (name))
+        {
+            if (request.m_at < since)
+                continue;
+
+            const auto found = answers().find (ticket);
+            all += 1.0;
+            served += found != answers().end() && found->second.m_result.m_outcome == Outcome::completed
+                          ? 1.0
+                          : 0.0;
+        }
+
+        return served / all;
+    }
+
+    std::map<InstanceName, std::vector<std::pair<Ticket, Sent>>> m_surveyors;
+    std::map<InstanceName, std::vector<std::pair<Ticket, Sent>>> m_council;
+    std::map<InstanceName, std::vector<std::pair<Ticket, Sent>>> m_public;
+    unsigned m_nextId = 0;
+};
+
+} // namespace
+
+TEST_CASE ("a key that is taken away ends within a bound that all nodes keep when all is well")
+{
+    KeyFleet fleet (15, 3);
+    fleet.load (seconds (1));
+    fleet.write (tableWith (2, {}));
+    const auto takenAt = fleet.now();
+    fleet.load (seconds (4));
+    CHECK (fleet.latestUse (takenAt) <= Milliseconds (500));
+
+    for (const auto& name : fleet.names())
+    {
+        CAPTURE (name);
+        CHECK (fleet.servedShare (name, takenAt) == 1.0);
+    }
+}
+
+TEST_CASE ("nodes that the store turns away go on by the word of their peers")
+{
+    KeyFleet fleet (30, 3);
+    fleet.load (seconds (1));
+
+    for (std::size_t number = 0; number < fleet.names().size(); number += 3)
+        fleet.turnAway (fleet.names()[number]); // a third: all of one zone
+
+    const auto since = fleet.now();
+    fleet.load (seconds (8));
+    fleet.write (tableWith (2, {}));
+    const auto takenAt = fleet.now();
+    fleet.load (seconds (5));
+    CHECK (fleet.latestUse (takenAt) < bound);
+
+    for (const auto& name : fleet.names())
+    {
+        CAPTURE (name);
+        CHECK (fleet.servedShare (name, since) > 0.99);
+    }
+}
+
+TEST_CASE ("nodes that are cut off from the store and from the others stop using keys, and only these")
+{
+    KeyFleet fleet (30, 3);
+    fleet.load (seconds (1));
+    std::vector<InstanceName> cutOff;
+
+    for (std::size_t number = 0; number < fleet.names().size(); ++number)
+        if (number % 3 == 1)
+            cutOff.push_back (fleet.names()[number]);
+
+    for (const auto& one : cutOff)
+    {
+        fleet.turnAway (one);
+
+        for (const auto& other : fleet.names())
+            if (std::find (cutOff.begin(), cutOff.end(), other) == cutOff.end())
+                fleet.cut (one, other);
+    }
+
+    fleet.write (tableWith (2, {}));
+    const auto takenAt = fleet.now();
+    fleet.load (seconds (10));
+    CHECK (fleet.latestUse (takenAt) < bound);
+    CHECK (fleet.latestUse (takenAt) > seconds (2)); // they could not know
+
+    CHECK (fleet.servedShare (cutOff.front(), takenAt + bound) == 0.0);
+    CHECK (fleet.reducer (cutOff.front()).relay().isReady());
+    CHECK (fleet.servedShare (fleet.names().front(), takenAt) > 0.95);
+
+    SUBCASE ("what they refuse has not run, passes later, and what needs no key is served")
+    {
+        const auto& [ticket, request] = fleet.m_council.at (cutOff.front()).back();
+        const auto& answer = fleet.answers().at (ticket).m_result;
+        CHECK (answer.m_outcome == Outcome::notRun);
+        CHECK (answer.m_reason == Reason::keyUnproven);
+        CHECK (answer.m_comeBack > Duration::zero());
+        CHECK (fleet.runsOf (request.m_id).empty());
+
+        const auto& open = fleet.m_public.at (cutOff.front()).back();
+        CHECK (fleet.answers().at (open.first).m_result.m_outcome == Outcome::completed);
+    }
+
+    SUBCASE ("they go on within two seconds of the end of the cut")
+    {
+        fleet.healAll();
+        fleet.letAllIn();
+        fleet.load (seconds (2));
+        const auto since = fleet.now();
+        fleet.load (seconds (1));
+        CHECK (fleet.servedShare (cutOff.front(), since) == 1.0);
+    }
+}
+
+TEST_CASE ("while the store is away no key is used for longer than the bound, and all go on after it")
+{
+    KeyFleet fleet (15, 3);
+    fleet.load (seconds (1));
+    fleet.setDown (true);
+    const auto since = fleet.now();
+    fleet.load (seconds (9));
+    CHECK (fleet.servedShare (fleet.names().front(), since + bound) == 0.0);
+
+    SUBCASE ("all were started again meanwhile: nothing is known of keys")
+    {
+        for (const auto& name : fleet.names())
+            fleet.restart (name);
+
+        const auto restartedAt = fleet.now();
+        fleet.load (seconds (3));
+        CHECK (fleet.servedShare (fleet.names().front(), restartedAt) == 0.0);
+    }
+
+    fleet.setDown (false);
+    fleet.load (seconds (3));
+    const auto after = fleet.now();
+    fleet.load (seconds (1));
+
+    for (const auto& name : fleet.names())
+    {
+        CAPTURE (name);
+        CHECK (fleet.servedShare (name, after) > 0.99);
+    }
+}
+
+TEST_CASE ("a node that stood still uses no key by what it knew before, nor what waited in it")
+{
+    KeyFleet fleet (6, 1);
+    fleet.load (seconds (1));
+    const auto& frozen = fleet.names().front();
+    const auto beforeIt = fleet.now();
+    fleet.load (Milliseconds (100));
+    fleet.freeze (frozen, seconds (8));
+    fleet.write (tableWith (2, {}));
+    const auto takenAt = fleet.now();
+    fleet.load (seconds (9));
+    CHECK (fleet.latestUse (takenAt) < bound);
+    CHECK (fleet.latestUse (beforeIt) > Duration::zero());
+}
+
+TEST_CASE ("the store's answers cost few calls, and none more where no key has a bound")
+{
+    const auto callsOf = [] (const RelaySettings& settings) {
+        StoreFleet fleet (68, 3, settings);
+        fleet.write (tableWith (1, { "key-1" }));
+        fleet.run (seconds (10));
+        const auto before = fleet.calls();
+        fleet.run (seconds (30));
+        Duration oldest {};
+        for (const auto& name : fleet.names())
+            oldest = std::max (oldest,
+                               fleet.reducer (name).relay().keys().age (fleet.now()).value_or (seconds (99)));
+        MESSAGE (fleet.following().size(), " follow, oldest proof ", oldest.count());
+        return fleet.calls() - before;
+    };
+
+    const auto bounded = callsOf (boundedSettings());
+    const auto unbounded = callsOf ({});
+    CHECK (unbounded <= 75); // three watchful followers
+    CHECK (bounded <= 110);
+}
+
+TEST_CASE ("an answer to a question is as old as the way there and back")
+{
+    RelayRig rig;
+    rig.settings().m_revocationBound = bound;
+    rig.add ("one", "web");
+    rig.publish (tableWith (1, { "key-1" }));
+    const auto askedAt = rig.now();
+    rig.run (seconds (2));
+    rig.tell ("one", PeerMessageReceived {
+                         0, { "two", 1 }, ProofAnswer { askedAt.time_since_epoch(), 1, seconds (1) } });
+    CHECK (rig.reducer ("one").relay().keys().age (rig.now()) == seconds (3));
+
+    SUBCASE ("nonsense counts for nothing")
+    {
+        for (const auto& answer : { ProofAnswer { (rig.now() + seconds (9)).time_since_epoch(), 1, {} },
+                                    ProofAnswer { rig.now().time_since_epoch(), 1, -seconds (9) },
+                                    ProofAnswer { Duration::min(), 1, Duration::max() } })
+            rig.tell ("one", PeerMessageReceived { 0, { "two", 1 }, answer });
+
+        CHECK (rig.reducer ("one").relay().keys().age (rig.now()) == seconds (3));
+    }
+}
+
+TEST_CASE ("a configuration that can't be read proves nothing")
+{
+    RelayRig rig;
+    rig.settings().m_revocationBound = bound;
+    rig.add ("one", "web");
+    rig.publish (tableWith (1, { "key-1" }));
+    rig.tell ("one", RoutesConfirmed { rig.now().time_since_epoch() });
+    CHECK (rig.reducer ("one").relay().keys().isProven (rig.now()));
+
+    rig.run (seconds (1));
+    rig.tell ("one", RoutesRead { "spoiled" });
+    rig.tell ("one", RoutesConfirmed { rig.now().time_since_epoch() });
+    CHECK (rig.reducer ("one").relay().keys().age (rig.now()) == seconds (1));
+}
+
+} // namespace plankledge::test
--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -23,14 +23,15 @@
     };
 }
 
-RouteTable makeTable (ConfigurationVersion version, const std::vector<Route>& routes)
+RouteTable makeTable (ConfigurationVersion version, const std::vector<Route>& routes,
+                      Organisations organisations)
 {
     RouteTable::Hosts hosts;
 
     for (const auto& route : routes)
         hosts[rigHost]["/" + route.m_name + "/"] = route;
 
-    return { version, std::move (hosts) };
+    return { version, std::move (hosts), std::move (organisations) };
 }
 
 //==============================================================================
@@ -168,7 +169,7 @@
 
 //==============================================================================
 Ticket RelayRig::send (const InstanceName& instance, const std::string& id, const std::string& path,
-                       Duration timeout)
+                       Duration timeout, const Credential& credential)
 {
     const auto ticket = m_nextTicket++;
     RelayRequestReceived received;
@@ -176,6 +177,7 @@
     received.m_host = rigHost;
     received.m_content = { id, "GET", path, {}, {} };
     received.m_timeout = timeout;
+    received.m_credential = credential;
     deliver (instance, std::move (received), Duration::zero());
     return ticket;
 }
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -83,6 +83,9 @@
     /** Nodes that are started from now on are told that all start for the first time. */
     void setFirstStart (bool isFirst) { m_settings.m_isFirstStart = isFirst; }
 
+    /** Settings of the nodes that are started from now on. */
+    RelaySettings& settings() noexcept { return m_settings; }
+
     /** Takes what nodes want of the store; without, they are told by the rig. */
     using StoreHook = std::function<void (const InstanceName&, const Effect&)>;
     void setStore (StoreHook hook) { m_store = std::move (hook); }
@@ -101,7 +104,7 @@
     //==============================================================================
     /** Sends a request to a node; its id must be new. */
     Ticket send (const InstanceName& instance, const std::string& id, const std::string& path,
-                 Duration timeout = std::chrono::seconds (5));
+                 Duration timeout = std::chrono::seconds (5), const Credential& credential = {});
     void close (const InstanceName& instance, Ticket ticket);
 
     /** Lets the time pass; targets that are alive go on announcing themselves. */
@@ -202,6 +205,7 @@
 Route makeRoute (const RouteName& name, const ServiceName& service, bool isRepeatable = true);
 
 /** @returns a table with these routes at the rig's host */
-RouteTable makeTable (ConfigurationVersion version, const std::vector<Route>& routes);
+RouteTable makeTable (ConfigurationVersion version, const std::vector<Route>& routes,
+                      Organisations organisations = {});
 
 } // namespace plankledge::test
--- a/tests/support/StoreFleet.cpp
+++ b/tests/support/StoreFleet.cpp
@@ -10,7 +10,6 @@
 
 constexpr Duration step = Milliseconds (5);
 constexpr Duration longestWait = Milliseconds (28000);
-constexpr Duration watchfulWait = Milliseconds (1500);
 constexpr Duration answerLimit = Milliseconds (800);
 constexpr Duration pauseBetweenReads = Milliseconds (400);
 constexpr Duration retryPause = Milliseconds (600);
@@ -19,8 +18,9 @@
 } // namespace
 
 //==============================================================================
-StoreFleet::StoreFleet (unsigned nodes, unsigned zones)
+StoreFleet::StoreFleet (unsigned nodes, unsigned zones, const RelaySettings& relay)
 {
+    settings() = relay;
     setStore ([this] (const InstanceName& instance, const Effect& effect) {
         m_wanted.emplace_back (instance, effect);
     });
@@ -62,8 +62,12 @@
 
 void StoreFleet::write (ConfigurationVersion version)
 {
-    m_routes.push_back (
-        nameRoutes (makeTable (version, { makeRoute ("read", "plans"), makeRoute ("page", "web") })));
+    write (makeTable (version, { makeRoute ("read", "plans"), makeRoute ("page", "web") }));
+}
+
+void StoreFleet::write (const RouteTable& routes)
+{
+    m_routes.push_back (nameRoutes (routes));
 }
 
 void StoreFleet::drop (const InstanceName& instance)
@@ -95,8 +99,11 @@
         reader.m_reading = read->m_reading;
         reader.m_next = read->m_reading == TopicReading::once ? -1 : std::max (reader.m_next, read->m_from);
 
-        if (std::exchange (reader.m_isWatchful, read->m_isWatchful) != read->m_isWatchful)
+        if (std::exchange (reader.m_longestWait, read->m_longestWait) != read->m_longestWait)
+        {
             reader.m_isWaiting = false;
+            reader.m_asksAtOnce = read->m_longestWait > Duration::zero();
+        }
     }
     else if (const auto* publish = std::get_if<PublishMember> (&effect))
     {
@@ -142,7 +149,8 @@
         return call (instance, topic, reader);
 
     reader.m_isLost = reader.m_isLost || ! isReachable (instance);
-    const auto limit = (reader.m_isWatchful ? watchfulWait : longestWait) + answerLimit;
+    const auto wait = reader.m_longestWait > Duration::zero() ? reader.m_longestWait : longestWait;
+    const auto limit = (reader.m_asksAtOnce ? Duration::zero() : wait) + answerLimit;
 
     if (reader.m_isLost && now() - reader.m_waitsSince >= limit)
         return setReached (instance, topic, reader, false);
@@ -189,9 +197,10 @@
 {
     const auto from = std::exchange (reader.m_next, endOf (topic));
     reader.m_isWaiting = false;
+    reader.m_asksAtOnce = false;
 
     if (from == endOf (topic))
-        return; // it waited in vain
+        return confirm (instance, topic, reader); // it waited in vain
 
     if (reader.m_reading == TopicReading::once)
         reader.m_reading = TopicReading::rest;
@@ -201,7 +210,7 @@
         if (! m_routes.empty())
             tell (instance, RoutesRead { m_routes.back() });
 
-        return;
+        return confirm (instance, topic, reader);
     }
 
     reader.m_notBefore = now() + pauseBetweenReads;
@@ -225,6 +234,12 @@
     tell (instance, read);
 }
 
+void StoreFleet::confirm (const InstanceName& instance, StoreTopic topic, const Reader& reader)
+{
+    if (topic == StoreTopic::routes)
+        tell (instance, RoutesConfirmed { reader.m_waitsSince.time_since_epoch() });
+}
+
 //==============================================================================
 bool StoreFleet::hasRecordOf (const InstanceName& instance) const
 {
--- a/tests/support/StoreFleet.h
+++ b/tests/support/StoreFleet.h
@@ -16,12 +16,13 @@
 public:
     //==============================================================================
     /** Starts so many nodes for the first time, within 0.3 s, dealt among zones and two services. */
-    StoreFleet (unsigned nodes, unsigned zones);
+    StoreFleet (unsigned nodes, unsigned zones, const RelaySettings& settings = {});
 
     void run (Duration duration);
 
     /** Writes a version of the routes to the store, as an operator. */
     void write (ConfigurationVersion version);
+    void write (const RouteTable& routes);
 
     /** Starts a node that the store has not heard of. */
     void join (const InstanceName& instance, const ZoneName& zone);
@@ -37,6 +38,7 @@
 
     void setDown (bool isDown) { m_isDown = isDown; }
     void turnAway (const InstanceName& instance) { m_turnedAway.insert (instance); }
+    void letAllIn() { m_turnedAway.clear(); }
 
     //==============================================================================
     std::uint64_t calls() const noexcept { return m_calls; }
@@ -64,7 +66,8 @@
         bool m_isWaiting = false;
         bool m_isLost = false; /**< what it waits for: the store fell silent meanwhile */
         bool m_isReached = true;
-        bool m_isWatchful = false;
+        Duration m_longestWait {}; /**< of a read without news; 0: as long as the store lets it */
+        bool m_asksAtOnce = false; /**< the next read does not wait */
     };
 
     void onEffect (const InstanceName& instance, const Effect& effect);
@@ -74,6 +77,7 @@
     void call (const InstanceName& instance, StoreTopic topic, Reader& reader);
     void setReached (const InstanceName& instance, StoreTopic topic, Reader& reader, bool isReached);
     void answer (const InstanceName& instance, StoreTopic topic, Reader& reader);
+    void confirm (const InstanceName& instance, StoreTopic topic, const Reader& reader);
     bool isReachable (const InstanceName& instance) const;
     LogOffset endOf (StoreTopic topic) const;
 
