--- a/tests/contracts/BadInput_test.cpp
+++ b/tests/contracts/BadInput_test.cpp
@@ -116,7 +116,8 @@
         { "another version", encodeFrame (wrongVersion), WireError::wrongVersion },
         { "for another instance", encodeFrame (elsewhere), WireError::wrongReceiver },
         { "zeros", std::string (64, '\0'), WireError::truncated },
-        { "a frame of noise", std::string ("\x08\0\0\0", 4) + versionBytes() + "noise!", WireError::malformed },
+        { "a frame of noise", std::string ("\x08\0\0\0", 4) + versionBytes() + "noise!",
+          WireError::malformed },
     };
 }
 
