--- a/modules/plankledge_policy/relay/access/AccessCheck.cpp
+++ b/modules/plankledge_policy/relay/access/AccessCheck.cpp
@@ -7,7 +7,7 @@
 {
     const auto& credential = request.m_credential;
 
-    if (! organisations.areDeclared() || request.m_isOwnTargetsCall)
+    if (! organisations.areDeclared())
         return OpenAccess {};
 
     const auto* organisation =
--- a/modules/plankledge_policy/relay/access/AccessCheck.h
+++ b/modules/plankledge_policy/relay/access/AccessCheck.h
@@ -8,8 +8,7 @@
 namespace plankledge
 {
 
-/** The request needs no key: its route is open to all, or no organisations are declared, or it is a call of
-   the own target. */
+/** The request needs no key: its route is open to all, or no organisations are declared. */
 struct OpenAccess
 {
     auto operator<=> (const OpenAccess&) const = default;
@@ -39,18 +38,16 @@
 {
     const Route& m_route;
     const Credential& m_credential;
-    bool m_isOwnTargetsCall = false; /**< made by the own target for a request that runs there */
-    bool m_isProven = false;         /**< no newer configuration was written until short ago */
+    bool m_isProven = false; /**< no newer configuration was written until short ago */
 };
 
 /**
     Judges whether a request may be begun, and for whom it is.
 
-    A call that the own target makes for a request that runs there needs no key, since the
-    request had one. What can't be a key is refused whatever the configuration says; a
-    key is judged, one way or the other, only by a configuration that is known to be the
-    newest: an old one would let a key in that was taken away, or turn away a new one for
-    good.
+    Calls that targets make have no key: their routes are public. Nothing else tells them
+    from what callers send, so nothing else lets a request in without a key. What can't be a key is refused
+   whatever the configuration says; a key is judged, one way or the other, only by a configuration that is
+   known to be the newest: an old one would let a key in that was taken away, or turn away a new one for good.
 */
 Access judgeAccess (const Organisations& organisations, const AccessRequest& request) noexcept;
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -61,7 +61,8 @@
     if (route == nullptr)
         return refuse (turn, received, Reason::noRoute);
 
-    const auto access = accessOf (turn, received, *route);
+    const auto access = judgeAccess (m_parts.m_routes.table().organisations(),
+                                     { *route, received.m_credential, m_parts.m_keys.isProven (turn.now()) });
 
     if (const auto* refused = std::get_if<AccessRefused> (&access))
         return refuse (turn, received, refused->m_reason);
@@ -84,15 +85,6 @@
     begin (turn, id);
 }
 
-Access RelayEntry::accessOf (Turn& turn, const RelayRequestReceived& received, const Route& route) const
-{
-    const bool isOwnTargetsCall = received.m_credential.m_kind == CredentialKind::none &&
-                                  m_parts.m_gate.findRunning (parentOf (received.m_content.m_id)).has_value();
-    return judgeAccess (
-        m_parts.m_routes.table().organisations(),
-        { route, received.m_credential, isOwnTargetsCall, m_parts.m_keys.isProven (turn.now()) });
-}
-
 RelayEntry::Request RelayEntry::makeRequest (Turn& turn, const RelayRequestReceived& received,
                                              const Route& route, const Organisation* organisation)
 {
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -88,7 +88,6 @@
     using Request = detail::EntryRequest;
 
     void refuse (Turn& turn, const RelayRequestReceived& received, Reason reason);
-    Access accessOf (Turn& turn, const RelayRequestReceived& received, const Route& route) const;
     Request makeRequest (Turn& turn, const RelayRequestReceived& received, const Route& route,
                          const Organisation* organisation);
     void joinChain (Request& request, const TargetGate::Running& running);
--- a/tests/relay/access/AccessCheck_test.cpp
+++ b/tests/relay/access/AccessCheck_test.cpp
@@ -30,7 +30,6 @@
     const char* m_name;
     Credential m_credential;
     bool m_isPublic;
-    bool m_isOwnTargetsCall;
     bool m_isProven;
     const char* m_organisation; /**< empty: open */
     Reason m_refused;
@@ -48,29 +47,26 @@
     const Credential malformed { CredentialKind::malformed, {} };
 
     const std::vector<Row> rows {
-        { "a known key", known, false, false, true, "surveyors", Reason::none },
-        { "the start of a known key", begun, false, false, true, "", Reason::keyUnknown },
-        { "an unknown key", unknown, false, false, true, "", Reason::keyUnknown },
-        { "no key", none, false, false, true, "", Reason::keyMissing },
-        { "malformed", malformed, false, false, true, "", Reason::keyMalformed },
-        { "a known key, the proof too old", known, false, false, false, "", Reason::keyUnproven },
-        { "an unknown key, the proof too old", unknown, false, false, false, "", Reason::keyUnproven },
-        { "no key, the proof too old", none, false, false, false, "", Reason::keyMissing },
-        { "public, no key", none, true, false, true, "", Reason::none },
-        { "public, a known key", known, true, false, true, "surveyors", Reason::none },
-        { "public, an unknown key", unknown, true, false, true, "", Reason::none },
-        { "public, malformed", malformed, true, false, true, "", Reason::none },
-        { "public, the proof too old", known, true, false, false, "", Reason::none },
-        { "a call of the own target", none, false, true, true, "", Reason::none },
-        { "a call of the own target, the proof too old", none, false, true, false, "", Reason::none },
+        { "a known key", known, false, true, "surveyors", Reason::none },
+        { "the start of a known key", begun, false, true, "", Reason::keyUnknown },
+        { "an unknown key", unknown, false, true, "", Reason::keyUnknown },
+        { "no key", none, false, true, "", Reason::keyMissing },
+        { "malformed", malformed, false, true, "", Reason::keyMalformed },
+        { "a known key, the proof too old", known, false, false, "", Reason::keyUnproven },
+        { "an unknown key, the proof too old", unknown, false, false, "", Reason::keyUnproven },
+        { "no key, the proof too old", none, false, false, "", Reason::keyMissing },
+        { "public, no key", none, true, true, "", Reason::none },
+        { "public, a known key", known, true, true, "surveyors", Reason::none },
+        { "public, an unknown key", unknown, true, true, "", Reason::none },
+        { "public, malformed", malformed, true, true, "", Reason::none },
+        { "public, the proof too old", known, true, false, "", Reason::none },
     };
 
     for (const auto& row : rows)
     {
         CAPTURE (row.m_name);
         const auto route = routeOf (row.m_isPublic);
-        const auto access =
-            judgeAccess (organisations, { route, row.m_credential, row.m_isOwnTargetsCall, row.m_isProven });
+        const auto access = judgeAccess (organisations, { route, row.m_credential, row.m_isProven });
 
         if (row.m_refused != Reason::none)
         {
@@ -93,7 +89,7 @@
 {
     const auto route = routeOf (false);
     const Credential malformed { CredentialKind::malformed, {} };
-    CHECK (judgeAccess ({}, { route, malformed, false, false }) == Access (OpenAccess {}));
+    CHECK (judgeAccess ({}, { route, malformed, false }) == Access (OpenAccess {}));
 }
 
 TEST_CASE ("where a list of organisations is declared, be it empty, requests need keys")
@@ -101,8 +97,7 @@
     const auto route = routeOf (false);
     const Organisations nobody { std::vector<Organisation> {} };
     const Credential key { CredentialKind::key, "key-1" };
-    CHECK (judgeAccess (nobody, { route, key, false, true }) ==
-           Access (AccessRefused { Reason::keyUnknown }));
+    CHECK (judgeAccess (nobody, { route, key, true }) == Access (AccessRefused { Reason::keyUnknown }));
 }
 
 TEST_CASE ("an organisation's priority goes before the routes', which order requests of equal ones")
