Retries go to the chains that have most calls behind them

Retries went to chains by priority and cohort, from their first call on: 4.9 for each whole chain. Change: within a priority the place of a retry's chain is by the calls that have ended well, most first: what these took is lost without the next one, and few retries make them whole. More bins, since five priorities share the order now. Ruled out: beginning fewer chains (the bound grows with the requests).

--- a/modules/plankledge_policy/relay/entry/EntryRequest.h
+++ b/modules/plankledge_policy/relay/entry/EntryRequest.h
@@ -20,7 +20,8 @@
     std::optional<Time> m_keyHoldsUntil {}; /**< it may not be sent on later; nullopt: no such bound */
     bool m_isJudged = true; /**< false: whether it is within its organisation's limit is asked */
     bool m_isNested = false;
-    std::uint16_t m_urgency = 0; /**< its route's priority; a call has that of the request it is for */
+    std::uint32_t m_callsDone = 0; /**< earlier calls of the request that it is a call of, that ended well */
+    std::uint16_t m_urgency = 0;   /**< its route's priority; a call has that of the request it is for */
     Time m_receivedAt;
     Time m_chainStartedAt; /**< when the request at the head of its chain came to its entry */
     Time m_deadline;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -134,6 +134,7 @@
     request.m_urgency = parent.m_urgency;
     request.m_isOfRepeat = parent.m_isRepeat;
     request.m_chainStartedAt = running.m_chainStartedAt;
+    request.m_callsDone = running.m_callsDone;
     m_parts.m_gate.onNestedCall (parent.m_route, request.m_route.m_name, request.m_service);
 }
 
@@ -529,6 +530,11 @@
     m_held.erase (id);
     m_parts.m_limits.forget (id);
     turn.timers().cancel (request.m_deadline, TimerKind::relayDeadline, id);
+
+    if (request.m_isNested && result.m_outcome == Outcome::completed &&
+        result.m_answer.m_status < serverError)
+        m_parts.m_gate.onCallDone (parentOf (request.m_content.m_id));
+
     ++turn.counters().m_outcomes[static_cast<std::size_t> (result.m_outcome)];
 
     if (result.m_outcome == Outcome::completed &&
--- a/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
+++ b/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
@@ -71,13 +71,18 @@
 }
 
 /** @returns the place of the request's chain in the order of refusal, the same at every node that sees its
-    id; calls that show no chain have a place of their own */
+    id; calls that show no chain have a place of their own. Within a priority the chains that have most calls
+    behind them come first: what these took is lost without the next one, and they need the fewest retries to
+    be whole. */
 double RetryPolicy::placeOf (const detail::EntryRequest& request) const
 {
     constexpr std::uint64_t cohorts = 1000;
     const auto& routes = m_parts.m_routes.table();
     const auto cohort = static_cast<double> (hashText (rootOf (request.m_content.m_id)) % cohorts) / cohorts;
-    return routes.placeOfPriority (request.m_urgency) + cohort * routes.widthOfPriority();
+    const auto done = static_cast<double> (request.m_callsDone);
+    const auto first = 1.0 / (done + 2.0);
+    const auto share = first + cohort * (1.0 / (done + 1.0) - first);
+    return routes.placeOfPriority (request.m_urgency) + share * routes.widthOfPriority();
 }
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/entry/RetryTokens.h
+++ b/modules/plankledge_policy/relay/entry/RetryTokens.h
@@ -52,7 +52,7 @@
 private:
     //==============================================================================
     static constexpr std::size_t slotCount = 20; /**< of a window */
-    static constexpr std::size_t binCount = 20;  /**< of the order of refusal */
+    static constexpr std::size_t binCount = 200; /**< of the order of refusal; several for each priority */
 
     struct Slot
     {
--- a/modules/plankledge_policy/relay/gate/GateCall.h
+++ b/modules/plankledge_policy/relay/gate/GateCall.h
@@ -35,6 +35,7 @@
     Duration m_slotTime {};                 /**< that it is expected to hold a slot */
     bool m_hasBegun = false;                /**< the target has worked for its chain already */
     bool m_isDispatched = false;
+    std::uint32_t m_callsDone = 0; /**< its calls that ended well */
 
     /** @returns whether the word of the request's entry that its key is valid still counts */
     bool holdsKeyAt (Time now) const noexcept
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -467,7 +467,13 @@
         return std::nullopt;
 
     const auto& call = m_calls.at (found->second);
-    return Running { call.m_request, call.m_chainStartedAt };
+    return Running { call.m_request, call.m_chainStartedAt, call.m_callsDone };
+}
+
+void TargetGate::onCallDone (std::string_view requestId) noexcept
+{
+    if (const auto found = m_byRequest.find (requestId); found != m_byRequest.end())
+        ++m_calls.at (found->second).m_callsDone;
 }
 
 void TargetGate::onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service)
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -67,6 +67,7 @@
     {
         const RelayRequest& m_request;
         Time m_chainStartedAt;
+        std::uint32_t m_callsDone = 0; /**< that it made, and that ended well */
     };
 
     /** @returns the request with this id, or nullopt where it does not run here */
@@ -75,6 +76,9 @@
     /** A request that runs at the target made a call. */
     void onNestedCall (const RouteName& caller, const RouteName& callee, const ServiceName& service);
 
+    /** A call of the request with this id, which runs at the target, ended well. */
+    void onCallDone (std::string_view requestId) noexcept;
+
     GateStatus status() const noexcept;
     std::vector<RouteTime> routeTimes() const { return m_serviceTimes.all(); }
     std::vector<CallEdge> callEdges() const { return m_graph.ownEdges(); }
