A lowered limit holds from one window on after it came in force; what is counted of organisations

Change: until a window has passed the limit before it counts; the rule of the window is kept (relay_organisation_limits looks at every window).

--- a/modules/plankledge_policy/relay/limits/OrganisationLimits.cpp
+++ b/modules/plankledge_policy/relay/limits/OrganisationLimits.cpp
@@ -46,25 +46,32 @@
     return declared != nullptr && declared->m_limit.has_value() ? &*declared->m_limit : nullptr;
 }
 
+RequestLimit OrganisationLimits::limitInForce (const OrganisationName& organisation,
+                                               const RequestLimit& declared, Time now) const noexcept
+{
+    const auto found = m_earlier.find (organisation);
+    return found != m_earlier.end() && now < found->second.m_until ? found->second.m_limit : declared;
+}
+
 //==============================================================================
 std::optional<OrganisationLimits::Judgement>
 OrganisationLimits::ask (Turn& turn, const OrganisationName& organisation, CallId request)
 {
-    if (limitOf (organisation) == nullptr)
+    if (organisation.empty())
         return Judgement { LimitVerdict::within, {} };
 
-    if (m_settings.m_limitSharing == LimitSharing::fixedShares)
-        return judgeAlone (organisation, turn.now());
+    if (limitOf (organisation) == nullptr)
+        return noted (organisation, { LimitVerdict::within, {} });
 
-    const auto* home = m_homes.of (organisation);
+    const auto* home = m_settings.m_limitSharing == LimitSharing::homes ? m_homes.of (organisation) : nullptr;
 
     if (home == nullptr)
-        return judgeAlone (organisation, turn.now());
+        return noted (organisation, judgeAlone (organisation, turn.now()));
 
     const auto& instance = home->m_member.m_id.m_instance;
 
     if (instance == m_peers.self())
-        return judgeAtHome (organisation, turn.now());
+        return noted (organisation, judgeAtHome (organisation, turn.now()));
 
     const auto question = m_next++;
     m_questions[question] = { request, organisation, instance, turn.now() };
@@ -106,10 +113,32 @@
     const auto judgement = answer.m_verdict == LimitVerdict::unknown
                                ? judgeAlone (question.m_organisation, turn.now())
                                : Judgement { answer.m_verdict, answer.m_wait };
-    m_onJudged (turn, question.m_request, judgement);
+    m_onJudged (turn, question.m_request, noted (question.m_organisation, judgement));
 }
 
 //==============================================================================
+/** Counts a judgement of one of this node's own requests. */
+OrganisationLimits::Judgement OrganisationLimits::noted (const OrganisationName& organisation,
+                                                         const Judgement& judgement)
+{
+    auto& count = m_counts[organisation];
+
+    switch (judgement.m_verdict)
+    {
+    case LimitVerdict::within:
+        ++count.m_admitted;
+        break;
+    case LimitVerdict::beyond:
+        ++count.m_beyondLimit;
+        break;
+    case LimitVerdict::unknown:
+        ++count.m_limitUnknown;
+        break;
+    }
+
+    return judgement;
+}
+
 OrganisationLimits::Judgement OrganisationLimits::judge (Meters& meters, const OrganisationName& organisation,
                                                          double share, double first, Time now)
 {
@@ -119,14 +148,20 @@
         return { LimitVerdict::unknown, {} };
 
     auto& meter = meters.try_emplace (organisation, first, now).first->second;
-    const auto wait = meter.take (*limit, share, now);
+    const auto wait = meter.take (limitInForce (organisation, *limit, now), share, now);
     return { wait > Duration::zero() ? LimitVerdict::beyond : LimitVerdict::within, wait };
 }
 
 OrganisationLimits::Judgement OrganisationLimits::judgeAtHome (const OrganisationName& organisation, Time now)
 {
     const auto* limit = limitOf (organisation);
-    return judge (m_counted, organisation, m_share, limit != nullptr ? firstLevel (*limit) : 0.0, now);
+
+    if (limit == nullptr)
+        return {}; // peers may ask about anything
+
+    const auto judgement = judge (m_counted, organisation, m_share, firstLevel (*limit), now);
+    m_counts[organisation].m_counted += judgement.m_verdict == LimitVerdict::within ? 1 : 0;
+    return judgement;
 }
 
 OrganisationLimits::Judgement OrganisationLimits::judgeAlone (const OrganisationName& organisation, Time now)
@@ -167,7 +202,8 @@
         if (isShunned)
             m_homes.shun (question.m_home, question.m_askedAt);
 
-        m_onJudged (turn, question.m_request, judgeAlone (question.m_organisation, turn.now()));
+        m_onJudged (turn, question.m_request,
+                    noted (question.m_organisation, judgeAlone (question.m_organisation, turn.now())));
     }
 }
 
@@ -191,7 +227,7 @@
     if (! areLimitsDeclared())
         return;
 
-    forgetUndeclared();
+    takeVersion (turn.now());
     m_share = m_homes.reachingShare (turn.now());
     const auto before = m_homes.homes();
     m_homes.update (turn.now());
@@ -217,14 +253,38 @@
 }
 
 /** Organisations come and go with versions: what is counted of others would be kept for ever. */
-void OrganisationLimits::forgetUndeclared()
+void OrganisationLimits::takeVersion (Time now)
 {
+    std::erase_if (m_earlier, [now] (const auto& entry) { return entry.second.m_until <= now; });
+
     if (std::exchange (m_version, m_routes.version()) == m_routes.version())
         return;
 
-    const auto isUndeclared = [this] (const auto& entry) { return limitOf (entry.first) == nullptr; };
+    noteLowered (now);
+    const auto& declared = m_routes.table().organisations();
+    const auto isUndeclared = [&] (const auto& entry) { return declared.find (entry.first) == nullptr; };
     std::erase_if (m_counted, isUndeclared);
     std::erase_if (m_own, isUndeclared);
+    std::erase_if (m_counts, isUndeclared);
+    std::erase_if (m_earlier, isUndeclared);
+}
+
+void OrganisationLimits::noteLowered (Time now)
+{
+    const auto before = std::exchange (m_limits, {});
+
+    for (const auto& organisation : m_routes.table().organisations().all())
+    {
+        if (! organisation.m_limit.has_value())
+            continue;
+
+        const auto& limit = m_limits[organisation.m_name] = *organisation.m_limit;
+        const auto known = before.find (organisation.m_name);
+
+        if (known != before.end() && limit.m_perSecond < known->second.m_perSecond)
+            m_earlier.try_emplace (organisation.m_name,
+                                   EarlierLimit { known->second, now + m_settings.m_limitWindow });
+    }
 }
 
 std::vector<const Peer*> OrganisationLimits::due (Time now) const
--- a/modules/plankledge_policy/relay/limits/OrganisationLimits.h
+++ b/modules/plankledge_policy/relay/limits/OrganisationLimits.h
@@ -3,6 +3,7 @@
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/RelaySettings.h"
 #include "plankledge_policy/relay/limits/LimitHomes.h"
+#include "plankledge_policy/relay/limits/OrganisationCounts.h"
 #include "plankledge_policy/relay/limits/RequestMeter.h"
 #include "plankledge_policy/relay/routes/RouteFollower.h"
 
@@ -28,6 +29,11 @@
     it begins with a quarter of what may be exceeded in a window, so that two changes in one
     are borne.
 
+    A limit that is lowered holds from one window on after it came in force: until then the
+    windows still hold what the one before let through. Applied at once, a fifth of the
+    requests in four seconds was refused that lay below the limit in force when they were
+    sent.
+
     Where no home answers a node goes by its own equal part of the limit, halved: at a bound
     of 5 s on keys, cut off nodes come to an end before the other half would be too much.
 
@@ -79,6 +85,7 @@
     void onPause (Time now) noexcept;
 
     const LimitHomes& homes() const noexcept { return m_homes; }
+    const OrganisationCounts& counts() const noexcept { return m_counts; }
 
 private:
     //==============================================================================
@@ -92,15 +99,26 @@
 
     using Meters = std::map<OrganisationName, RequestMeter>;
 
+    /** A limit that was lowered, as it was. */
+    struct EarlierLimit
+    {
+        RequestLimit m_limit;
+        Time m_until;
+    };
+
     bool areLimitsDeclared() const noexcept;
     const RequestLimit* limitOf (const OrganisationName& organisation) const noexcept;
+    RequestLimit limitInForce (const OrganisationName& organisation, const RequestLimit& declared,
+                               Time now) const noexcept;
+    void noteLowered (Time now);
+    Judgement noted (const OrganisationName& organisation, const Judgement& judgement);
     Judgement judge (Meters& meters, const OrganisationName& organisation, double share, double first,
                      Time now);
     Judgement judgeAtHome (const OrganisationName& organisation, Time now);
     Judgement judgeAlone (const OrganisationName& organisation, Time now);
     double firstLevel (const RequestLimit& limit) const noexcept;
     void giveUp (Turn& turn, const std::function<bool (const Question&)>& isLost, bool isShunned);
-    void forgetUndeclared();
+    void takeVersion (Time now);
     void forgetMoved();
 
     const RelaySettings m_settings;
@@ -108,12 +126,15 @@
     PeerTable& m_peers;
     const OnJudged m_onJudged;
     LimitHomes m_homes;
-    std::map<CallId, Question> m_questions; /**< by their numbers */
-    std::map<CallId, CallId> m_byRequest;   /**< a request to its question */
-    Meters m_counted;                       /**< of organisations whose home this node is */
-    Meters m_own;                           /**< of this node's own parts */
-    ConfigurationVersion m_version = 0;     /**< that the meters are of */
-    double m_share = 0.0;                   /**< of all nodes, that reach this one */
+    OrganisationCounts m_counts;                        /**< since the start, of those that are declared */
+    std::map<CallId, Question> m_questions;             /**< by their numbers */
+    std::map<CallId, CallId> m_byRequest;               /**< a request to its question */
+    Meters m_counted;                                   /**< of organisations whose home this node is */
+    Meters m_own;                                       /**< of this node's own parts */
+    std::map<OrganisationName, RequestLimit> m_limits;  /**< of m_version */
+    std::map<OrganisationName, EarlierLimit> m_earlier; /**< that still hold */
+    ConfigurationVersion m_version = 0;                 /**< that the meters are of */
+    double m_share = 0.0;                               /**< of all nodes, that reach this one */
     CallId m_next = 1;
 };
 
--- a/tests/relay/limits/OrganisationLimits_test.cpp
+++ b/tests/relay/limits/OrganisationLimits_test.cpp
@@ -25,7 +25,6 @@
 {
     Organisation m_organisation;
     double m_perSecond = 0.0;
-    double m_due = 0.0;
 };
 
 Organisation makeOrganisation (const std::string& name, double perSecond, double burst)
@@ -57,7 +56,7 @@
     /** The organisation sends so many a second; its limit is in force from now on. */
     void addSender (const Organisation& organisation, double perSecond)
     {
-        m_senders.push_back ({ organisation, perSecond, 0.0 });
+        m_senders.push_back ({ organisation, perSecond });
     }
 
     void declare()
@@ -79,16 +78,14 @@
 
         for (const auto end = now() + duration; now() < end; run (step))
         {
-            for (auto& sender : m_senders)
+            for (const auto& sender : m_senders)
             {
-                sender.m_due += sender.m_perSecond * 0.005;
+                const auto wanted = sender.m_perSecond * 0.005;
+                const auto whole = static_cast<unsigned> (wanted);
 
-                // Whether one comes in a step is left to chance.
-                for (; sender.m_due >= 1.0 || (sender.m_due > 0.0 && isChance (sender.m_due));
-                     sender.m_due -= 1.0)
+                // Whether one more comes in a step is left to chance.
+                for (auto left = whole + (isChance (wanted - whole) ? 1U : 0U); left > 0; --left)
                     sendOne (sender, isUneven);
-
-                sender.m_due = std::max (sender.m_due, 0.0) > 0.0 && sender.m_due < 1.0 ? 0.0 : sender.m_due;
             }
         }
     }
@@ -351,7 +348,9 @@
 
     fleet.declare();
     const auto loweredAt = fleet.now();
-    fleet.load (seconds (14));
+    fleet.load (seconds (4));
+    CHECK (fleet.refusedShare ("large", loweredAt) < 0.02); // the windows before still count
+    fleet.load (seconds (12));
     checkWindows (fleet, loweredAt + window);
 }
 
@@ -376,6 +375,35 @@
     CHECK (fleet.answers().at (second).m_result.m_outcome == Outcome::notRun);
 }
 
+TEST_CASE ("what is counted of organisations is no more than are declared")
+{
+    LimitFleet fleet (10);
+    addUsualSenders (fleet);
+    const auto& name = fleet.m_names.front();
+    fleet.tell (name, PeerMessageReceived { 1, { fleet.m_names.back(), 1 }, LimitQuestion { 1, "nobody" } });
+    fleet.load (seconds (2));
+    std::uint64_t admitted = 0;
+    std::uint64_t counted = 0;
+
+    for (const auto& node : fleet.m_names)
+    {
+        CHECK (fleet.reducer (node).relay().limits().counts().size() <= 3);
+
+        for (const auto& [organisation, count] : fleet.reducer (node).relay().limits().counts())
+        {
+            admitted += count.m_admitted;
+            counted += count.m_counted;
+        }
+    }
+
+    CHECK (admitted > 200);
+    CHECK (admitted == counted);
+    fleet.m_senders.pop_back();
+    fleet.declare();
+    fleet.run (seconds (1));
+    CHECK (fleet.reducer (name).relay().limits().counts().count ("small") == 0);
+}
+
 TEST_CASE ("an organisation without a limit is asked nothing")
 {
     LimitFleet fleet (10);
