--- a/modules/plankledge_policy/relay/entry/EntryLog.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryLog.cpp
@@ -75,6 +75,7 @@
                { "reason", std::string (nameOf (reason)) },
                { "route", request.m_route.m_name },
                { "service", request.m_service },
+               { "organisation", request.m_organisation },
                { "arrivals", number (request.m_arrivals) },
                { "nested", request.m_isNested ? "yes" : "no" },
                { "tried", triedBy (request) },
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -2,6 +2,7 @@
 
 #include "plankledge_runtime/MetricsText.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -124,8 +125,69 @@
     return text;
 }
 
+namespace
+{
+
+/** The organisations with most requests have counters of their own, the others are summed up: a fleet may
+   have thousands of them. */
+constexpr std::size_t mostOrganisations = 16;
+constexpr std::string_view otherOrganisations = "(others)";
+
+using NamedCount = std::pair<OrganisationName, OrganisationCount>;
+
+std::uint64_t requestsOf (const OrganisationCount& count) noexcept
+{
+    return count.m_admitted + count.m_beyondLimit + count.m_limitUnknown + count.m_counted;
+}
+
+void addTo (OrganisationCount& sum, const OrganisationCount& count) noexcept
+{
+    sum.m_admitted += count.m_admitted;
+    sum.m_beyondLimit += count.m_beyondLimit;
+    sum.m_limitUnknown += count.m_limitUnknown;
+    sum.m_counted += count.m_counted;
+}
+
+/** @returns the largest, and one sum of the others where there are more */
+std::vector<NamedCount> boundedCounts (const OrganisationCounts& counts)
+{
+    std::vector<NamedCount> result (counts.begin(), counts.end());
+    std::stable_sort (result.begin(), result.end(), [] (const NamedCount& one, const NamedCount& other) {
+        return requestsOf (one.second) > requestsOf (other.second);
+    });
+
+    if (result.size() <= mostOrganisations)
+        return result;
+
+    OrganisationCount others;
+
+    for (auto left = result.begin() + mostOrganisations; left != result.end(); ++left)
+        addTo (others, left->second);
+
+    result.resize (mostOrganisations);
+    result.emplace_back (otherOrganisations, others);
+    return result;
+}
+
+void appendOrganisations (std::string& text, const OrganisationCounts& counts)
+{
+    text += "# TYPE plankledge_organisation_requests_total counter\n";
+
+    for (const auto& [name, count] : boundedCounts (counts))
+        for (const auto& [result, number] :
+             { std::pair { "admitted", count.m_admitted }, std::pair { "beyond-limit", count.m_beyondLimit },
+               std::pair { "limit-unknown", count.m_limitUnknown },
+               std::pair { "counted", count.m_counted } })
+            if (number > 0)
+                text += fmt::format (
+                    "plankledge_organisation_requests_total{{organisation=\"{}\",result=\"{}\"}} {}\n", name,
+                    result, number);
+}
+
+} // namespace
+
 std::string renderRelayMetrics (const Reducer& reducer, const NodeMetrics& metrics,
-                                const ControlTraffic& traffic)
+                                const ControlTraffic& traffic, Time now)
 {
     const auto& relay = reducer.relay();
     const auto gate = relay.gate().status();
@@ -148,6 +210,12 @@
                      static_cast<double> (time.m_time.count()) / 1000.0);
 
     appendGauge (text, "target_failure_permille", gate.m_failurePermille);
+
+    if (const auto age = relay.keys().age (now); age.has_value())
+        appendGauge (text, "configuration_proof_age_milliseconds",
+                     static_cast<double> (toMilliseconds (*age)));
+
+    appendOrganisations (text, relay.limits().counts());
     return text;
 }
 
--- a/modules/plankledge_runtime/NodeMetrics.h
+++ b/modules/plankledge_runtime/NodeMetrics.h
@@ -70,7 +70,7 @@
 
 /** @returns the same of a node that serves relayed requests */
 std::string renderRelayMetrics (const Reducer& reducer, const NodeMetrics& metrics,
-                                const ControlTraffic& traffic);
+                                const ControlTraffic& traffic, Time now);
 
 /** @returns this node's view as JSON: members, version, limits, refusals by reason */
 std::string renderState (const Reducer& reducer);
