A new life of an instance gets calls at once, however often the earlier one failed

Router leaves an instance out by its name for 0.5 s, doubled up to 8 s with each failure in a row, and only an answered call ends that: a node that restarted, and one that was slow to come up at the start, were left out by peers that knew their new life. A key has two candidates; with both left out nobody was asked. Ruled out: a fault of the record (the key ran once, the outcome was unknown, as it has to be); a wrong reason of the owner (the reason arises only where an entry finds no usable candidate). Change: Router notes which life failed; a newer one gets calls at once and its own doublings.

--- a/modules/plankledge_policy/calls/OutgoingCalls.cpp
+++ b/modules/plankledge_policy/calls/OutgoingCalls.cpp
@@ -193,9 +193,7 @@
 
     for (const auto& member : m_membership.candidatesFor (keyHash, request.m_content.m_service))
     {
-        const auto& instance = member.m_id.m_instance;
-
-        if (! request.m_unfit.contains (instance) && m_router.isUsable (instance, turn.now()))
+        if (! request.m_unfit.contains (member.m_id.m_instance) && m_router.isUsable (member.m_id, turn.now()))
             return member;
     }
 
@@ -273,7 +271,7 @@
     m_router.onAnswered (from, answer.m_loadPermille);
 
     if (answer.m_result.m_reason == Reason::targetRefusedConnection)
-        m_router.onFailed (from, turn.now());
+        m_router.onFailed (knownLifeOf (from), turn.now());
 
     endCall (request, answer.m_retriesReturned);
 
@@ -287,7 +285,7 @@
 void OutgoingCalls::onPeerUnreachable (Turn& turn, const InstanceName& instance,
                                        const std::vector<CallId>& calls)
 {
-    m_router.onUnreachable (instance, turn.now());
+    m_router.onUnreachable (knownLifeOf (instance), turn.now());
 
     for (const auto call : calls)
     {
@@ -310,7 +308,7 @@
 
 void OutgoingCalls::onPeerLost (Turn& turn, const InstanceName& instance)
 {
-    m_router.onUnreachable (instance, turn.now());
+    m_router.onUnreachable (knownLifeOf (instance), turn.now());
 
     for (const auto id : requestsAt (instance))
     {
@@ -325,6 +323,12 @@
     }
 }
 
+NodeId OutgoingCalls::knownLifeOf (const InstanceName& instance) const
+{
+    const auto* member = m_membership.find (instance);
+    return member != nullptr ? member->m_id : NodeId { instance, 0 };
+}
+
 std::vector<CallId> OutgoingCalls::requestsAt (const InstanceName& instance) const
 {
     std::vector<CallId> result;
@@ -390,7 +394,7 @@
     const bool wasSent = request.m_instance.has_value();
 
     if (wasSent)
-        m_router.onFailed (request.m_instance->m_id.m_instance, turn.now());
+        m_router.onFailed (request.m_instance->m_id, turn.now());
 
     cancelCall (turn, request);
     giveUp (turn, id, wasSent ? Outcome::unknown : Outcome::notRun, Reason::deadlineExceeded);
--- a/modules/plankledge_policy/calls/OutgoingCalls.h
+++ b/modules/plankledge_policy/calls/OutgoingCalls.h
@@ -93,6 +93,7 @@
     void giveUp (Turn& turn, CallId id, Outcome outcome, Reason reason);
     void cancelCall (Turn& turn, Request& request);
     void finish (Turn& turn, CallId id, CallResult result);
+    NodeId knownLifeOf (const InstanceName& instance) const;
     std::vector<CallId> requestsAt (const InstanceName& instance) const;
 
     const NodeSettings& m_settings;
--- a/modules/plankledge_policy/routing/Router.cpp
+++ b/modules/plankledge_policy/routing/Router.cpp
@@ -22,7 +22,7 @@
     std::vector<Member> usable;
 
     for (const auto& candidate : candidates)
-        if (isUsable (candidate.m_id.m_instance, now))
+        if (isUsable (candidate.m_id, now))
             usable.push_back (candidate);
 
     if (usable.empty() || usable.size() * 2 < candidates.size())
@@ -53,10 +53,17 @@
     return scoreOf (second.m_id.m_instance) < scoreOf (first.m_id.m_instance) ? second : first;
 }
 
-bool Router::isUsable (const InstanceName& instance, Time now) const
+bool Router::isUsable (const NodeId& id, Time now) const
 {
-    const auto state = m_states.find (instance);
-    return state == m_states.end() || state->second.m_unusableUntil <= now;
+    const auto found = m_states.find (id.m_instance);
+
+    if (found == m_states.end())
+        return true;
+
+    // What an earlier life failed says nothing of the next: without this, two candidates of a key that both
+    // came back were left out for up to 8 s, and keyed work was refused all that time.
+    const auto& state = found->second;
+    return state.m_unusableUntil <= now || id.m_incarnation > state.m_ejectedLife;
 }
 
 //==============================================================================
@@ -82,21 +89,28 @@
     state.m_unusableUntil = Time();
 }
 
-void Router::onUnreachable (const InstanceName& instance, Time now)
+void Router::onUnreachable (const NodeId& id, Time now)
 {
-    eject (m_states[instance], now);
+    eject (m_states[id.m_instance], id.m_incarnation, now);
 }
 
-void Router::onFailed (const InstanceName& instance, Time now)
+void Router::onFailed (const NodeId& id, Time now)
 {
-    auto& state = m_states[instance];
+    auto& state = m_states[id.m_instance];
 
     if (++state.m_failures >= failuresToEject)
-        eject (state, now);
+        eject (state, id.m_incarnation, now);
 }
 
-void Router::eject (State& state, Time now)
+void Router::eject (State& state, Incarnation life, Time now)
 {
+    if (life < state.m_ejectedLife)
+        return;
+
+    if (life > state.m_ejectedLife)
+        state.m_ejections = 0;
+
+    state.m_ejectedLife = life;
     const auto doublings = std::min (state.m_ejections, mostDoublings);
     state.m_unusableUntil = now + firstEjection * (1U << doublings);
     state.m_failures = 0;
--- a/modules/plankledge_policy/routing/Router.h
+++ b/modules/plankledge_policy/routing/Router.h
@@ -36,8 +36,8 @@
     */
     std::optional<Member> pick (const std::vector<Member>& candidates, Random& random, Time now) const;
 
-    /** @returns whether calls are sent to the instance at all now */
-    bool isUsable (const InstanceName& instance, Time now) const;
+    /** @returns whether calls are sent to this life of the instance at all now */
+    bool isUsable (const NodeId& id, Time now) const;
 
     void onSent (const InstanceName& instance);
 
@@ -47,11 +47,11 @@
     /** The instance answered; its load counts from now on. */
     void onAnswered (const InstanceName& instance, std::uint16_t loadPermille);
 
-    /** The instance could not be connected to, or its connection broke. */
-    void onUnreachable (const InstanceName& instance, Time now);
+    /** The instance, in the life that is known of it, could not be connected to, or its connection broke. */
+    void onUnreachable (const NodeId& id, Time now);
 
-    /** A call got no answer in time, or its target can't be connected to. */
-    void onFailed (const InstanceName& instance, Time now);
+    /** A call to this life got no answer in time, or its target can't be connected to. */
+    void onFailed (const NodeId& id, Time now);
 
     /** Forgets an instance that is gone. */
     void forget (const InstanceName& instance) { m_states.erase (instance); }
@@ -67,12 +67,13 @@
         std::uint16_t m_loadPermille = 0;
         std::uint32_t m_failures = 0;  /**< in a row */
         std::uint32_t m_ejections = 0; /**< in a row */
+        Incarnation m_ejectedLife = 0; /**< the newest that was ejected; a newer one gets calls at once */
         Time m_unusableUntil;
     };
 
     std::vector<Member> subsetOf (std::vector<Member> candidates) const;
     std::uint64_t scoreOf (const InstanceName& instance) const;
-    void eject (State& state, Time now);
+    static void eject (State& state, Incarnation life, Time now);
 
     Member m_self;
     std::map<InstanceName, State> m_states;
