--- a/modules/plankledge_runtime/PeerLinks.cpp
+++ b/modules/plankledge_runtime/PeerLinks.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/PeerLinks.h"
 
 #include "plankledge_runtime/Acceptor.h"
+#include "plankledge_runtime/ReadBuffer.h"
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -28,7 +29,6 @@
 constexpr auto asTuple = asio::as_tuple (asio::use_awaitable);
 constexpr std::chrono::milliseconds connectLimit { 500 };
 constexpr std::chrono::seconds idleLimit { 120 };
-constexpr std::size_t readChunkBytes = 64U << 10U;
 constexpr std::size_t maximumQueuedBytes = 16U << 20U; // a peer that reads so slowly counts as lost
 
 /** A connection whose bytes are not acknowledged for so long is broken: the peer is cut off or has no
@@ -211,22 +211,19 @@
     */
     asio::awaitable<void> readFrames (LinkId id, LinkPointer link, std::optional<InstanceName> peer)
     {
-        std::string buffer;
-        std::size_t filled = 0;
+        detail::ReadBuffer buffer;
 
         while (! link->m_isClosed)
         {
-            if (buffer.size() - filled < readChunkBytes)
-                buffer.resize (filled + readChunkBytes);
-
-            const auto [error, size] = co_await link->m_socket.async_read_some (
-                asio::buffer (buffer.data() + filled, buffer.size() - filled), asTuple);
+            const auto room = buffer.room();
+            const auto [error, size] =
+                co_await link->m_socket.async_read_some (asio::buffer (room.data(), room.size()), asTuple);
 
             if (error)
                 co_return;
 
-            filled += size;
-            const auto used = takeFrames (id, *link, peer, std::string_view (buffer.data(), filled));
+            buffer.onRead (size);
+            const auto used = takeFrames (id, *link, peer, buffer.bytes());
 
             if (! used.ok())
             {
@@ -234,8 +231,7 @@
                 co_return;
             }
 
-            buffer.erase (0, *used);
-            filled -= *used;
+            buffer.drop (*used);
         }
     }
 
