--- a/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
@@ -61,9 +61,7 @@
     const auto priority = priorityOf (route, routes, isBack, random);
     const auto order = isBack ? (1.0 + cohort) / 2.0 : cohort / 2.0;
     const auto share = 1.0 - std::pow (1.0 - order, heaviness (route, service, bottleneck, callees, peers));
-    m_order.onRequest (priority);
-    const auto part = m_order.partOf (priority, routes);
-    const auto place = part.m_place + share * part.m_width;
+    const auto place = routes.placeOfPriority (priority) + share * routes.widthOfPriority();
 
     if (place >= bottleneck.m_level)
         return { Refusal { bottleneck.m_service, place, bottleneck.m_level }, priority };
--- a/modules/plankledge_policy/relay/entry/EntryAdmission.h
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "plankledge_core/Random.h"
-#include "plankledge_policy/relay/entry/RefusalOrder.h"
 #include "plankledge_policy/relay/peers/PeerTable.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
 #include "plankledge_policy/relay/routes/RouteTable.h"
@@ -71,7 +70,6 @@
                                      Random& random);
     bool isComingBack (const RouteName& route, Duration timeout);
 
-    RefusalOrder m_order;
     std::map<std::pair<ServiceName, std::uint32_t>, double> m_meanWork; /**< at a service, of the requests of
                                                                            one priority; microseconds */
     std::map<RouteName, Duration> m_longestTimeouts; /**< that senders of a route's requests gave lately */
--- a/modules/plankledge_policy/relay/routes/RouteTable.h
+++ b/modules/plankledge_policy/relay/routes/RouteTable.h
@@ -80,9 +80,6 @@
         return m_priorities.empty() ? 0 : m_priorities.front();
     }
 
-    /** @returns the priorities in use, the most urgent first */
-    const std::vector<std::uint32_t>& priorities() const noexcept { return m_priorities; }
-
     /** @returns a priority's place among those in use, in [0, 1) */
     double placeOfPriority (std::uint32_t priority) const noexcept;
 
