Sight: what broke off at a target is named by a digest of what it asks

Two sendings of one request carry two ids, so no line told that a request had come again, nor how many ran beside it when a target ended. gate-ended of a broken run now holds content (organisation, host, method, path, body) and running. No decision reads it yet.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -28,6 +28,9 @@
 /** The operators' name of a route. */
 using RouteName = std::string;
 
+/** Tells whether two requests ask for the same thing, see digestOf(). */
+using ContentDigest = std::uint64_t;
+
 /** Names one life of a target; a restarted target has another. */
 using TargetId = std::string;
 
@@ -133,6 +136,7 @@
     ServiceName m_callerService; /**< of the instance where the request began */
     RouteName m_route;
     OrganisationName m_organisation;       /**< that the request's key belongs to; empty: it needs none */
+    ContentDigest m_digest = 0;            /**< of what it asks */
     std::optional<Duration> m_keyHoldsFor; /**< it may not begin to run later than this after it was sent;
                                               nullopt: no such bound */
     std::uint16_t m_urgency = 0;           /**< the smaller, the sooner run */
@@ -148,8 +152,8 @@
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_keyHoldsFor,
-                 m_urgency, m_isRepeat, m_isNested, m_chainAge, m_timeLeft, m_longestQueueing,
+        archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_digest,
+                 m_keyHoldsFor, m_urgency, m_isRepeat, m_isNested, m_chainAge, m_timeLeft, m_longestQueueing,
                  m_longestToBegin, m_sentAt);
     }
 };
--- a/modules/plankledge_core/plankledge_core.h
+++ b/modules/plankledge_core/plankledge_core.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "plankledge_core/ContentDigest.h"
 #include "plankledge_core/Declarations.h"
 #include "plankledge_core/Hash.h"
 #include "plankledge_core/Identity.h"
--- a/modules/plankledge_policy/relay/LogText.h
+++ b/modules/plankledge_policy/relay/LogText.h
@@ -20,6 +20,12 @@
     return fmt::format ("{}", value);
 }
 
+/** A digest, as it stands in all lines about it. */
+inline std::string digest (std::uint64_t value)
+{
+    return fmt::format ("{:016x}", value);
+}
+
 inline std::string yesOrNo (bool value)
 {
     return value ? "yes" : "no";
--- a/modules/plankledge_policy/relay/entry/EntryRequest.h
+++ b/modules/plankledge_policy/relay/entry/EntryRequest.h
@@ -17,6 +17,7 @@
     Route m_route;
     ServiceName m_service;
     OrganisationName m_organisation;        /**< that it is sent for; empty: it needs no key */
+    ContentDigest m_digest = 0;             /**< of what it asks */
     std::optional<Time> m_keyHoldsUntil {}; /**< it may not be sent on later; nullopt: no such bound */
     bool m_isJudged = true; /**< false: whether it is within its organisation's limit is asked */
     bool m_isNested = false;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "plankledge_policy/relay/entry/EntryLog.h"
 
+#include "plankledge_core/ContentDigest.h"
 #include "plankledge_policy/relay/RequestIds.h"
 #include "plankledge_policy/relay/entry/TargetChoice.h"
 
@@ -107,6 +108,8 @@
             request.m_keyHoldsUntil = turn.now() + *holds;
     }
 
+    request.m_digest = digestOf (request.m_organisation, received.m_host, received.m_content);
+
     // Where keys are declared they are for this system, and none goes any further.
     if (! routes.organisations().areDeclared())
         request.m_content.m_headers.insert (request.m_content.m_headers.end(),
@@ -248,6 +251,7 @@
     message.m_callerService = m_self.m_service;
     message.m_route = request.m_route.m_name;
     message.m_organisation = request.m_organisation;
+    message.m_digest = request.m_digest;
 
     if (request.m_keyHoldsUntil.has_value())
         message.m_keyHoldsFor = *request.m_keyHoldsUntil - now;
--- a/modules/plankledge_policy/relay/gate/GateLog.cpp
+++ b/modules/plankledge_policy/relay/gate/GateLog.cpp
@@ -27,12 +27,15 @@
                { "running", number (running) } } };
 }
 
-LogDecision logBroken (const GateCall& call, const TargetId& target, Reason reason, Time now)
+LogDecision logBroken (const GateCall& call, const TargetId& target, Reason reason, std::size_t running,
+                       Time now)
 {
     return { Decision::gateEnded,
              call.m_request.m_content.m_id,
              { { "reason", std::string (nameOf (reason)) },
                { "target", target },
+               { "content", digest (call.m_request.m_digest) },
+               { "running", number (running) },
                { "ran_ms", milliseconds (now - call.m_dispatchedAt) } } };
 }
 
--- a/modules/plankledge_policy/relay/gate/GateLog.h
+++ b/modules/plankledge_policy/relay/gate/GateLog.h
@@ -36,8 +36,9 @@
 LogDecision logGateRefused (const GateCall& call, Reason reason, const GateFill& fill);
 LogDecision logDispatched (const GateCall& call, const TargetId& target, std::size_t running);
 
-/** The target gave no whole answer. */
-LogDecision logBroken (const GateCall& call, const TargetId& target, Reason reason, Time now);
+/** The target gave no whole answer; so many others still run there. */
+LogDecision logBroken (const GateCall& call, const TargetId& target, Reason reason, std::size_t running,
+                       Time now);
 
 /** The gate ended it without an answer of the target. */
 LogDecision logEnded (const GateCall& call, Reason reason, Time now);
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -233,7 +233,7 @@
     learn (call, turn.now(), isFailure);
 
     if (! isWhole)
-        turn.emit (detail::logBroken (call, m_target.id(), result.m_reason, turn.now()));
+        turn.emit (detail::logBroken (call, m_target.id(), result.m_reason, m_running, turn.now()));
 
     updateOpen (turn);
     answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
