--- /dev/null
+++ b/tests/support/CrashSite.cpp
@@ -0,0 +1,169 @@
+#include "support/CrashSite.h"
+
+#include <algorithm>
+#include <array>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+constexpr Duration step = Milliseconds (10);
+constexpr unsigned stepsOfTenth = 10;
+constexpr unsigned stepsOfSecond = 100;
+constexpr Duration contactTime = std::chrono::seconds (1);
+constexpr std::array<const char*, 3> zones { "zone-a", "zone-b", "zone-c" };
+
+} // namespace
+
+//==============================================================================
+CrashSite::CrashSite (unsigned targets, unsigned entries, std::uint32_t slots)
+{
+    for (unsigned index = 0; index < targets + entries; ++index)
+    {
+        const auto isTarget = index < targets;
+        const auto name = (isTarget ? "target-" : "entry-") + std::to_string (index);
+        add (name, isTarget ? "plans" : "web", zones[index % zones.size()], slots);
+        m_nodes.push_back (name);
+
+        if (! isTarget)
+            continue;
+
+        m_targets.push_back (name);
+        m_state[name] = {};
+        setTarget (name, [this] (RelayRig&, const InstanceName& instance, const RelayToTarget& dispatch) {
+            onDispatch (instance, dispatch);
+        });
+    }
+
+    publish (makeTable (1, { makeRoute ("read", "plans"), makeRoute ("write", "plans", false) }));
+    run (contactTime);
+}
+
+void CrashSite::onDispatch (const InstanceName& instance, const RelayToTarget& dispatch)
+{
+    auto& target = m_state.at (instance);
+
+    if (! target.m_isUp)
+        return reply (instance, dispatch.m_call, TargetReplyKind::notSent, latency);
+
+    target.m_running.insert (dispatch.m_call);
+
+    if (dispatch.m_content.m_path.starts_with (deadly))
+        m_crashesDue.emplace (now() + workToCrash, instance);
+    else
+        m_ends.emplace (now() + work, std::pair { instance, dispatch.m_call });
+}
+
+void CrashSite::crash (const InstanceName& instance)
+{
+    auto& target = m_state.at (instance);
+
+    if (! target.m_isUp)
+        return;
+
+    m_crashes.push_back (now());
+    target.m_isUp = false;
+    target.m_backAt = now() + downTime;
+    silence (instance);
+
+    for (const auto call : target.m_running)
+        reply (instance, call, TargetReplyKind::broken, latency);
+
+    target.m_running.clear();
+}
+
+void CrashSite::loseAnswer (const InstanceName& instance, CallId call)
+{
+    if (m_state.at (instance).m_running.erase (call) > 0)
+        reply (instance, call, TargetReplyKind::broken, latency);
+}
+
+Ticket CrashSite::sendAnywhere (const std::string& path)
+{
+    return send (m_nodes[m_random.below (m_nodes.size())], "request-" + std::to_string (++m_sent), path);
+}
+
+//==============================================================================
+/** Ends what is due: a target that has crashed ends nothing any more. */
+void CrashSite::step()
+{
+    while (! m_crashesDue.empty() && m_crashesDue.begin()->first <= now())
+    {
+        const auto instance = m_crashesDue.begin()->second;
+        m_crashesDue.erase (m_crashesDue.begin());
+        crash (instance);
+    }
+
+    while (! m_ends.empty() && m_ends.begin()->first <= now())
+    {
+        const auto [instance, call] = m_ends.begin()->second;
+        m_ends.erase (m_ends.begin());
+
+        if (m_state.at (instance).m_running.erase (call) > 0)
+            reply (instance, call, TargetReplyKind::answered, Duration::zero());
+    }
+
+    for (auto& [instance, target] : m_state)
+    {
+        if (target.m_isUp || now() < target.m_backAt)
+            continue;
+
+        target.m_isUp = true;
+        replaceTarget (instance);
+        announce (instance);
+    }
+
+    run (plankledge::test::step);
+}
+
+std::vector<Ticket> CrashSite::runUnderLoad (Duration duration, unsigned perSecond,
+                                             const std::function<void()>& eachTenth)
+{
+    std::vector<Ticket> sent;
+    const auto end = now() + duration;
+    unsigned credit = 0;
+
+    for (unsigned steps = 0; now() < end; ++steps)
+    {
+        for (credit += perSecond; credit >= stepsOfSecond; credit -= stepsOfSecond)
+            sent.push_back (sendAnywhere ("/read/usual-" + std::to_string (m_sent)));
+
+        if (eachTenth && steps % stepsOfTenth == 0)
+            eachTenth();
+
+        step();
+    }
+
+    return sent;
+}
+
+double CrashSite::servedShare (const std::vector<Ticket>& tickets) const
+{
+    const auto served = std::count_if (tickets.begin(), tickets.end(), [this] (Ticket ticket) {
+        const auto found = answers().find (ticket);
+        return found != answers().end() && found->second.m_result.m_outcome == Outcome::completed;
+    });
+    return tickets.empty() ? 1.0 : static_cast<double> (served) / static_cast<double> (tickets.size());
+}
+
+std::vector<Time> CrashSite::runsOfPath (std::string_view path) const
+{
+    std::vector<Time> result;
+
+    for (const auto& run : runs())
+        if (run.m_dispatch.m_content.m_path == path)
+            result.push_back (run.m_at);
+
+    return result;
+}
+
+std::size_t CrashSite::answeredWith (Reason reason) const
+{
+    return static_cast<std::size_t> (
+        std::count_if (answers().begin(), answers().end(),
+                       [reason] (const auto& answer) { return answer.second.m_result.m_reason == reason; }));
+}
+
+} // namespace plankledge::test
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -60,6 +60,9 @@
     /** The node's target announces itself again; states other than serving come once. */
     void announce (const InstanceName& instance, AnnouncedState state = AnnouncedState::serving);
 
+    /** The target says nothing any more, until it is announced again. */
+    void silence (const InstanceName& instance) { m_hosts.at (instance).m_targetServes = false; }
+
     /** The target is replaced by another one. */
     void replaceTarget (const InstanceName& instance) { ++m_hosts.at (instance).m_targetLife; }
 
