Lines about keys and limit homes have their names again

An operator who looked for keys-closed, keys-opened or limit-homes found none: these lines were written with an empty event, since the table of names ended three short of the enumeration and the rest of the array was empty text. The table is whole, and a static_assert stands where a name would be missing.

--- a/modules/plankledge_runtime/NoticeLog.cpp
+++ b/modules/plankledge_runtime/NoticeLog.cpp
@@ -65,8 +65,10 @@
         "request-sent",      "request-sent-again", "request-answered", "request-refused", "request-given-up",
         "request-cancelled", "gate-dispatched",    "gate-refused",     "gate-ended",      "target-announced",
         "peer-found",        "peer-lost",          "peer-regained",    "routes-in-force", "routes-invalid",
-        "admission-moved",   "store-following",    "member-published"
+        "admission-moved",   "store-following",    "member-published", "keys-opened",     "keys-closed",
+        "limit-homes"
     };
+    static_assert (! names.back().empty(), "every decision has a name");
     return names.at (static_cast<std::size_t> (decision));
 }
 
--- a/tests/contracts/Logger_test.cpp
+++ b/tests/contracts/Logger_test.cpp
@@ -1,9 +1,11 @@
 #include "plankledge_core/Logger.h"
+#include "plankledge_runtime/NoticeLog.h"
 
 #include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <set>
 #include <string>
 #include <unistd.h>
 
@@ -107,4 +109,17 @@
     CHECK (text.find ("\"sampled\"") != std::string::npos);
 }
 
+/*  Lines about keys that were closed and opened, and about the homes of limits, had an empty event: three
+   names were missing from the table, and nothing asked for them. */
+TEST_CASE ("each event has a name of its own")
+{
+    std::set<std::string_view> names;
+
+    for (std::size_t index = 0; index < static_cast<std::size_t> (Decision::decisionCount); ++index)
+        names.insert (nameOf (static_cast<Decision> (index)));
+
+    CHECK (names.size() == static_cast<std::size_t> (Decision::decisionCount));
+    CHECK (! names.contains (std::string_view()));
+}
+
 } // namespace plankledge::test
