A request that crashes its targets is known by what it asks, and kept from all of them

What callers saw: searches answered 502 for 16 s on end, 2 to 21 of some 175 a second served. Cause: ids name attempts, so a request that came again was a new one to every node, and was begun at each target that came back, with all that waited.

Ruled out by the logs: our own second sendings as the carrier (35 beside 741 requests given up with one arrival).

Change: relay/crashes. CrashWatch tells from broken runs, refused connections, other answers, announcements and new lives whether the own target ended, and whom it blames: not what the same life of the target ran to an end before. CrashLedger remembers it by a digest of organisation, host, method, path and body; three crashes without a good end since hold a request, for 5 minutes and twice as long with each crash more, then one target alone tries it. CrashGuard tells peers in contact at once, and a digest in hellos and statuses finds what was missed. Entries ask before they send, gates before they run. Refused as not run, 503, with the time left.

Why it holds: a request that crashes whoever runs it never has a good end, so nothing clears it; knowledge grows with crashes, not requests; nothing enters without a crash.

Frames changed, so nodes speak protocol 3.

--- a/modules/plankledge_core/Outcome.cpp
+++ b/modules/plankledge_core/Outcome.cpp
@@ -49,6 +49,7 @@
     "key-unproven",
     "beyond-limit",
     "limit-unknown",
+    "crashes-targets",
 };
 
 static_assert (! reasonNames.back().empty(), "every reason has a name");
--- a/modules/plankledge_core/Outcome.h
+++ b/modules/plankledge_core/Outcome.h
@@ -57,9 +57,10 @@
     keyMissing,   /**< the route wants a key, and the request has none */
     keyMalformed, /**< it has several, of another scheme, or what can't be one */
     keyUnknown,
-    keyUnproven,  /**< whether its key still holds can't be told: news of the configuration is too old */
-    beyondLimit,  /**< of the organisation's requests in a time */
-    limitUnknown, /**< no node that counts the organisation's requests can be asked */
+    keyUnproven,    /**< whether its key still holds can't be told: news of the configuration is too old */
+    beyondLimit,    /**< of the organisation's requests in a time */
+    limitUnknown,   /**< no node that counts the organisation's requests can be asked */
+    crashesTargets, /**< targets ended while they ran the same request */
     reasonCount
 };
 
--- a/modules/plankledge_core/PeerMessages.h
+++ b/modules/plankledge_core/PeerMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plankledge_core/CrashMessages.h"
 #include "plankledge_core/Declarations.h"
 #include "plankledge_core/Identity.h"
 #include "plankledge_core/Member.h"
@@ -313,7 +314,7 @@
                  JoinAcknowledgement, Heartbeat, Handover, HandoverAcknowledgement, LeaveNotice,
                  LeaveAcknowledgement, ConfigurationPull, ConfigurationState, RelayRequest, RelayAnswer,
                  RelayCancel, PeerHello, PeerStatus, RoutesPull, RoutesText, MembersPull, MembersTold,
-                 ProofQuestion, ProofAnswer, LimitQuestion, LimitAnswer>;
+                 ProofQuestion, ProofAnswer, LimitQuestion, LimitAnswer, CrashNews, CrashPull>;
 
 //==============================================================================
 /** A UDP datagram: who the sender is, what it has in force, and a few members it heard of lately. */
--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -210,12 +210,13 @@
     Duration m_sentAt {};        /**< by the sender's steady clock */
     bool m_asksForCalls = false; /**< the answer is to tell the calls that were seen */
     StoreView m_store;
+    std::uint64_t m_crashes = 0; /**< digest of the crashes that it remembers; 0: none */
 
     auto operator<=> (const PeerHello&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_member, m_version, m_gate, m_sentAt, m_asksForCalls, m_store);
+        archive (m_member, m_version, m_gate, m_sentAt, m_asksForCalls, m_store, m_crashes);
     }
 };
 
@@ -228,12 +229,13 @@
     std::vector<RouteTime> m_times;               /**< at the own target */
     std::optional<std::vector<CallEdge>> m_calls; /**< seen at the own target; where they were asked for */
     StoreView m_store;
+    std::uint64_t m_crashes = 0; /**< digest of the crashes that it remembers; 0: none */
 
     auto operator<=> (const PeerStatus&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_version, m_gate, m_times, m_calls, m_store);
+        archive (m_version, m_gate, m_times, m_calls, m_store, m_crashes);
     }
 };
 
--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -31,6 +31,9 @@
     std::uint64_t m_dispatches = 0;             /**< calls sent to the own target */
     std::uint64_t m_lostCalls = 0;              /**< not run, of chains that the own target had worked for */
     std::uint64_t m_redirects = 0;              /**< sent to another instance since one could not take it */
+    std::uint64_t m_crashReports = 0;           /**< findings that the own target ended under requests */
+    std::uint64_t m_crashesWithdrawn = 0;       /**< of these, where it was seen to live after all */
+    std::uint64_t m_acquittals = 0;             /**< suspects that the own target ran to their end */
     std::uint64_t m_lateAnswers = 0;            /**< of calls already given up on */
     std::uint64_t m_attached = 0;               /**< resendings that joined the running request */
     std::uint64_t m_replayed = 0;               /**< resendings answered from the record */
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -278,6 +278,9 @@
     keysOpened,
     keysClosed,
     limitHomes,
+    crashReported,
+    crashWithdrawn,
+    contentHeld,
     decisionCount
 };
 
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -54,12 +54,14 @@
                 })
     , m_contacts (turn.settings().m_self)
     , m_store (turn.settings().m_self, m_peers)
-    , m_gate (settings, { [this] (Turn& inner, const RelayAnswer& answer) {
-                             m_entry.onAnswer (inner, m_peers.self(), answer);
-                         },
-                          [this] (Turn&) { onGateMoved(); }, [this] { return m_routes.version(); } })
+    , m_crashes (turn.settings().m_self.m_id, m_peers)
+    , m_gate (settings,
+              { [this] (Turn& inner, const RelayAnswer& answer) {
+                   m_entry.onAnswer (inner, m_peers.self(), answer);
+               },
+                [this] (Turn&) { onGateMoved(); }, [this] { return m_routes.version(); }, m_crashes })
     , m_entry (settings, turn.settings().m_self,
-               { m_routes, m_peers, m_calls, m_gate, m_keys, m_limits,
+               { m_routes, m_peers, m_calls, m_gate, m_keys, m_limits, m_crashes,
                  [this] (const ServiceName& service) { need (service); } })
 {
 }
@@ -143,6 +145,7 @@
             greet (*peer, false);
 
     m_limits.onWindowEnd (m_turn);
+    m_crashes.onWindowEnd (m_turn, m_gate.target().id());
     m_entry.retryHeld (m_turn);
     m_turn.timers().set (now + windowPeriod, TimerKind::relayWindow);
 }
@@ -160,7 +163,8 @@
     m_peers.onAsked (member.m_id.m_instance, m_turn.now());
     m_turn.emit (SendToPeer { member.m_id.m_instance, member.m_endpoint,
                               PeerHello { m_turn.settings().m_self, m_routes.version(), m_gate.status(),
-                                          m_turn.now().time_since_epoch(), asksForCalls, m_store.view() } });
+                                          m_turn.now().time_since_epoch(), asksForCalls, m_store.view(),
+                                          m_crashes.digest() } });
 }
 
 void RelayDecisions::greetDue()
@@ -207,7 +211,8 @@
 
 PeerStatus RelayDecisions::status() const
 {
-    return { m_routes.version(), m_gate.status(), m_gate.routeTimes(), std::nullopt, m_store.view() };
+    return { m_routes.version(), m_gate.status(), m_gate.routeTimes(),
+             std::nullopt,       m_store.view(),  m_crashes.digest() };
 }
 
 /** Peers must learn at once that a gate shut, and soon that one opened. */
@@ -353,6 +358,7 @@
     onGate (from.m_instance, message.m_gate);
     noteVersion (from.m_instance, message.m_version);
     noteStoreView (from.m_instance, message.m_store);
+    noteCrashes (from.m_instance, message.m_crashes);
 }
 
 void RelayDecisions::onMessage (LinkId, const NodeId& from, const PeerStatus& message)
@@ -367,6 +373,13 @@
     onGate (from.m_instance, message.m_gate);
     noteVersion (from.m_instance, message.m_version);
     noteStoreView (from.m_instance, message.m_store);
+    noteCrashes (from.m_instance, message.m_crashes);
+}
+
+void RelayDecisions::noteCrashes (const InstanceName& peer, std::uint64_t digest)
+{
+    if (const auto* known = m_peers.find (peer))
+        m_crashes.onDigest (m_turn, *known, digest);
 }
 
 void RelayDecisions::noteStoreView (const InstanceName& peer, const StoreView& view)
@@ -425,6 +438,16 @@
     m_limits.onAnswer (m_turn, from.m_instance, message);
 }
 
+void RelayDecisions::onMessage (LinkId, const NodeId& from, const CrashNews& message)
+{
+    m_crashes.onNews (m_turn, from.m_instance, message);
+}
+
+void RelayDecisions::onMessage (LinkId link, const NodeId& from, const CrashPull& message)
+{
+    m_crashes.onPull (m_turn, link, from.m_instance, message);
+}
+
 //==============================================================================
 void RelayDecisions::handle (const StopRequested&)
 {
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -49,6 +49,7 @@
     const RelayEntry& entry() const noexcept { return m_entry; }
     const KeyGuard& keys() const noexcept { return m_keys; }
     const OrganisationLimits& limits() const noexcept { return m_limits; }
+    const CrashGuard& crashes() const noexcept { return m_crashes; }
 
     //==============================================================================
     void handle (const RelayRequestReceived& event) { m_entry.receive (m_turn, event); }
@@ -83,6 +84,8 @@
     void onMessage (LinkId link, const NodeId& from, const ProofAnswer& message);
     void onMessage (LinkId link, const NodeId& from, const LimitQuestion& message);
     void onMessage (LinkId link, const NodeId& from, const LimitAnswer& message);
+    void onMessage (LinkId link, const NodeId& from, const CrashNews& message);
+    void onMessage (LinkId link, const NodeId& from, const CrashPull& message);
 
 private:
     //==============================================================================
@@ -95,6 +98,7 @@
                 const std::string& source);
     void tellNews();
     void noteStoreView (const InstanceName& peer, const StoreView& view);
+    void noteCrashes (const InstanceName& peer, std::uint64_t digest);
     void greetDue();
     void onRoutesInForce();
     void onGateMoved();
@@ -112,6 +116,7 @@
     PeerContacts m_contacts;
     StoreSync m_store;
     CallGraph m_calls;
+    CrashGuard m_crashes;
     TargetGate m_gate;
     RelayEntry m_entry;
     Time m_windowAt;
--- /dev/null
+++ b/modules/plankledge_policy/relay/crashes/CrashGuard.cpp
@@ -0,0 +1,167 @@
+#include "plankledge_policy/relay/crashes/CrashGuard.h"
+
+#include "plankledge_core/Hash.h"
+#include "plankledge_policy/relay/LogText.h"
+
+#include <utility>
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** What is older than it is remembered is looked for after this. */
+constexpr Duration forgettingPeriod = std::chrono::seconds (10);
+
+} // namespace
+
+//==============================================================================
+CrashGuard::CrashGuard (const NodeId& self, PeerTable& peers)
+    : m_self (self)
+    , m_peers (peers)
+{
+}
+
+//==============================================================================
+void CrashGuard::onAnswered (Turn& turn, ContentDigest content)
+{
+    m_watch.onAnswered (content, turn.now());
+
+    if (! m_ledger.isSuspect (content))
+        return;
+
+    const CrashAcquittal acquittal { content, {} };
+
+    if (! m_ledger.learn (acquittal, turn.now()))
+        return;
+
+    ++turn.counters().m_acquittals;
+    m_untold.m_acquittals.push_back (acquittal);
+}
+
+const Peer* CrashGuard::trialNode (const ServiceName& service, ContentDigest content) const
+{
+    const Peer* best = nullptr;
+    std::uint64_t bestWeight = 0;
+
+    // Also where its gate is shut: were another chosen then, each target in turn would try.
+    for (const auto* peer : m_peers.ofService (service))
+    {
+        if (! peer->m_isHeard)
+            continue;
+
+        const auto weight = rendezvousWeight (content, peer->m_member.m_id.m_instance);
+
+        if (best != nullptr && weight <= bestWeight)
+            continue;
+
+        best = peer;
+        bestWeight = weight;
+    }
+
+    return best;
+}
+
+//==============================================================================
+void CrashGuard::onWindowEnd (Turn& turn, const TargetId& target)
+{
+    const auto now = turn.now();
+
+    if (now - m_forgotAt >= forgettingPeriod)
+    {
+        m_ledger.forgetOld (now);
+        m_forgotAt = now;
+    }
+
+    for (auto& finding : m_watch.takeFindings (now))
+    {
+        auto& counters = turn.counters();
+        ++(finding.m_isWithdrawn ? counters.m_crashesWithdrawn : counters.m_crashReports);
+        turn.emit (LogDecision { finding.m_isWithdrawn ? Decision::crashWithdrawn : Decision::crashReported,
+                                 {},
+                                 { { "target", target },
+                                   { "crash", detail::number (finding.m_number) },
+                                   { "suspects", detail::number (finding.m_suspects.size()) },
+                                   { "age_ms", detail::milliseconds (now - finding.m_at) } } });
+        CrashReport report { { m_self, finding.m_number },
+                             now - finding.m_at,
+                             finding.m_isWithdrawn,
+                             std::move (finding.m_suspects) };
+
+        if (m_ledger.learn (report, now))
+            m_untold.m_crashes.push_back (std::move (report));
+    }
+
+    logHeld (turn);
+
+    if (! m_untold.isEmpty())
+        spread (turn, m_self.m_instance, std::exchange (m_untold, {}));
+}
+
+void CrashGuard::onNews (Turn& turn, const InstanceName& from, const CrashNews& news)
+{
+    CrashNews fresh;
+
+    // First what clears: a crash that is heard in the same message may lie before it.
+    for (const auto& acquittal : news.m_acquittals)
+        if (m_ledger.learn (acquittal, turn.now()))
+            fresh.m_acquittals.push_back (acquittal);
+
+    for (const auto& report : news.m_crashes)
+        if (m_ledger.learn (report, turn.now()))
+            fresh.m_crashes.push_back (report);
+
+    logHeld (turn);
+
+    if (! fresh.isEmpty())
+        spread (turn, from, fresh);
+}
+
+void CrashGuard::spread (Turn& turn, const InstanceName& from, const CrashNews& news) const
+{
+    for (const auto* peer : m_peers.others())
+        if (peer->m_isHeard && peer->m_member.m_id.m_instance != from)
+            turn.emit (SendToPeer { peer->m_member.m_id.m_instance, peer->m_member.m_endpoint, news });
+}
+
+void CrashGuard::logHeld (Turn& turn)
+{
+    for (const auto& [content, crashes] : m_ledger.takeNewlyHeld())
+        turn.emit (LogDecision {
+            Decision::contentHeld,
+            {},
+            { { "content", detail::digest (content) },
+              { "crashes", detail::number (crashes) },
+              { "for_ms", detail::milliseconds (m_ledger.judge (content, turn.now()).m_heldFor) } } });
+}
+
+//==============================================================================
+void CrashGuard::onPull (Turn& turn, LinkId link, const InstanceName& from, const CrashPull& pull) const
+{
+    if (pull.m_have != m_ledger.digest())
+        turn.emit (ReplyOnLink { link, from, m_ledger.all (turn.now()) });
+}
+
+void CrashGuard::onDigest (Turn& turn, const Peer& peer, std::uint64_t digest)
+{
+    const auto& instance = peer.m_member.m_id.m_instance;
+
+    // A peer that remembers nothing has nothing to tell; it asks itself.
+    if (digest == m_ledger.digest() || digest == 0)
+    {
+        m_differsSince.erase (instance);
+        return;
+    }
+
+    const auto [since, isFirst] = m_differsSince.try_emplace (instance, turn.now());
+    const bool knowsNothing = m_ledger.digest() == 0;
+
+    if (isFirst ? ! knowsNothing : turn.now() - since->second < differingFor)
+        return;
+
+    since->second = turn.now();
+    turn.emit (SendToPeer { instance, peer.m_member.m_endpoint, CrashPull { m_ledger.digest() } });
+}
+
+} // namespace plankledge
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -217,10 +217,14 @@
 //==============================================================================
 void RelayEntry::send (Turn& turn, CallId id)
 {
-    auto& request = m_requests.at (id);
-    const ChoiceNeeds needs { m_self.m_zone, request.m_route.m_name, request.m_route.m_latencyObjective,
-                              request.m_tried };
-    const auto* peer = chooseTarget (m_parts.m_peers.takingWork (request.m_service), needs, turn.random());
+    const auto& request = m_requests.at (id);
+    const auto crashes = m_parts.m_crashes.judge (request.m_digest, turn.now());
+
+    // Each target that ran the same request ended, and whatever ran there beside it was lost.
+    if (crashes.m_standing == Standing::held)
+        return giveUp (turn, id, Reason::crashesTargets, crashes.m_heldFor);
+
+    const auto* peer = choose (turn, request, crashes.m_standing);
 
     if (peer == nullptr)
         return hold (turn, id);
@@ -228,6 +232,21 @@
     sendTo (turn, id, *peer);
 }
 
+const Peer* RelayEntry::choose (Turn& turn, const Request& request, Standing standing) const
+{
+    if (standing == Standing::onTrial)
+    {
+        const auto* peer = m_parts.m_crashes.trialNode (request.m_service, request.m_digest);
+        const bool isFit = peer != nullptr && peer->m_gate.m_isOpen &&
+                           ! request.m_tried.contains (peer->m_member.m_id.m_instance);
+        return isFit ? peer : nullptr;
+    }
+
+    const ChoiceNeeds needs { m_self.m_zone, request.m_route.m_name, request.m_route.m_latencyObjective,
+                              request.m_tried };
+    return chooseTarget (m_parts.m_peers.takingWork (request.m_service), needs, turn.random());
+}
+
 void RelayEntry::sendTo (Turn& turn, CallId id, const Peer& peer)
 {
     auto& request = m_requests.at (id);
@@ -457,7 +476,11 @@
         ++request.m_arrivals;
         request.m_mayHaveRun = request.m_mayHaveRun || result.m_outcome == Outcome::unknown;
 
-        if (! m_retries.mayBeSentAgain (turn, request, result))
+        // On trial the first target's end settles it, which is not told yet.
+        const bool isClear =
+            m_parts.m_crashes.judge (request.m_digest, turn.now()).m_standing == Standing::clear;
+
+        if (! isClear || ! m_retries.mayBeSentAgain (turn, request, result))
             return giveUp (turn, id, result.m_reason);
 
         const auto reason =
@@ -471,8 +494,10 @@
         return send (turn, id);
     }
 
-    // The choice went to the shortest wait already: where that is too long, the others' are, too.
-    if (result.m_reason == Reason::overloaded || result.m_reason == Reason::queueFull)
+    // The choice went to the shortest wait already: where that is too long, the others' are, too. What one
+    // gate keeps from its target the others do as well.
+    if (result.m_reason == Reason::overloaded || result.m_reason == Reason::queueFull ||
+        result.m_reason == Reason::crashesTargets)
         return giveUp (turn, id, result.m_reason);
 
     ++turn.counters().m_redirects;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -44,6 +44,7 @@
         TargetGate& m_gate;
         const KeyGuard& m_keys;
         OrganisationLimits& m_limits;
+        const CrashGuard& m_crashes;
         std::function<void (const ServiceName&)> m_need; /**< a request needs a service: contact is kept */
     };
 
@@ -97,6 +98,7 @@
 
     std::vector<CallId> requestsAt (const InstanceName& instance) const;
     void send (Turn& turn, CallId id);
+    const Peer* choose (Turn& turn, const Request& request, Standing standing) const;
     void sendTo (Turn& turn, CallId id, const Peer& peer);
     void hold (Turn& turn, CallId id);
     void detach (Request& request);
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -157,6 +157,9 @@
     if (! call.holdsKeyAt (turn.now()))
         return Reason::keyUnproven;
 
+    if (mayCrash (call, turn.now()))
+        return Reason::crashesTargets;
+
     if (m_queue.size() >= limit() * mostQueuedRounds)
         return Reason::queueFull;
 
@@ -177,6 +180,12 @@
             continue;
         }
 
+        if (mayCrash (m_calls.at (id), turn.now()))
+        {
+            finish (turn, id, refusal (Reason::crashesTargets));
+            continue;
+        }
+
         m_queue.erase (m_queue.begin());
         m_queuedWork -= m_calls.at (id).m_slotTime;
         dispatch (turn, id);
@@ -231,6 +240,7 @@
     }
 
     learn (call, turn.now(), isFailure);
+    noteForCrashes (turn, call, reply.m_kind);
 
     if (! isWhole)
         turn.emit (detail::logBroken (call, m_target.id(), result.m_reason, m_running, turn.now()));
@@ -249,6 +259,62 @@
         m_serviceTimes.learn (call.m_request.m_route, now - call.m_dispatchedAt, now);
 }
 
+void TargetGate::noteForCrashes (Turn& turn, const Call& call, TargetReplyKind kind)
+{
+    switch (kind)
+    {
+    case TargetReplyKind::answered:
+        return m_hooks.m_crashes.onAnswered (turn, call.m_request.m_digest);
+    case TargetReplyKind::broken:
+        return m_hooks.m_crashes.watch().onBroken (call.m_request.m_digest, turn.now());
+    case TargetReplyKind::notSent:
+        return m_hooks.m_crashes.watch().onRefusedConnection();
+    case TargetReplyKind::rejected:
+        break;
+    }
+}
+
+void TargetGate::noteForCrashes (const OwnTarget::Change& change, bool wasLeaving, Time now)
+{
+    auto& watch = m_hooks.m_crashes.watch();
+
+    if (change == OwnTarget::Change::newLife || change == OwnTarget::Change::restarted)
+    {
+        std::vector<ContentDigest> running;
+
+        for (const auto& [request, id] : m_byRequest)
+            running.push_back (m_calls.at (id).m_request.m_digest);
+
+        watch.onNewLife (wasLeaving ? std::vector<ContentDigest>() : running, now);
+    }
+    else if (! m_target.isLeaving())
+        watch.onAnnounced (now);
+
+    if (m_target.isLeaving())
+        watch.onLeaving();
+}
+
+/** @returns whether the request is kept from the target for what it did to others; on trial one at a time is
+    let through. */
+bool TargetGate::mayCrash (const Call& call, Time now) const
+{
+    const auto content = call.m_request.m_digest;
+
+    switch (m_hooks.m_crashes.judge (content, now).m_standing)
+    {
+    case Standing::clear:
+        return false;
+    case Standing::held:
+        return true;
+    case Standing::onTrial:
+        break;
+    }
+
+    return std::any_of (m_byRequest.begin(), m_byRequest.end(), [&] (const auto& running) {
+        return m_calls.at (running.second).m_request.m_digest == content;
+    });
+}
+
 /** Counts a call that ends unrun though its chain has had work done here, which is lost with it. */
 void TargetGate::countIfLost (Turn& turn, const Call& call) const
 {
@@ -258,7 +324,9 @@
 
 void TargetGate::onAnnounced (Turn& turn, const TargetAnnounced& announced)
 {
+    const bool wasLeaving = m_target.isLeaving();
     const auto change = m_target.onAnnounced (announced, turn.now());
+    noteForCrashes (change, wasLeaving, turn.now());
 
     if (change != OwnTarget::Change::none)
         turn.emit (detail::logAnnounced (m_target));
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -2,6 +2,7 @@
 
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/RelaySettings.h"
+#include "plankledge_policy/relay/crashes/CrashGuard.h"
 #include "plankledge_policy/relay/gate/AdmissionLevel.h"
 #include "plankledge_policy/relay/gate/BegunChains.h"
 #include "plankledge_policy/relay/gate/GateCall.h"
@@ -41,6 +42,9 @@
 
         /** The version of the routes in force, told with each answer. */
         std::function<ConfigurationVersion()> m_version;
+
+        /** Which requests crash targets; outlives the gate. */
+        CrashGuard& m_crashes;
     };
 
     TargetGate (const RelaySettings& settings, Hooks hooks);
@@ -110,6 +114,9 @@
     void answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result);
     Call take (Turn& turn, CallId id);
     void learn (const Call& call, Time now, bool isFailure);
+    void noteForCrashes (Turn& turn, const Call& call, TargetReplyKind kind);
+    void noteForCrashes (const OwnTarget::Change& change, bool wasLeaving, Time now);
+    bool mayCrash (const Call& call, Time now) const;
     void countIfLost (Turn& turn, const Call& call) const;
     void updateOpen (Turn& turn);
 
--- a/modules/plankledge_runtime/LinkTraffic.cpp
+++ b/modules/plankledge_runtime/LinkTraffic.cpp
@@ -8,7 +8,8 @@
 std::string_view nameOf (FrameKind kind) noexcept
 {
     constexpr std::array<std::string_view, static_cast<std::size_t> (FrameKind::frameKindCount)> names {
-        "hello", "status", "request", "answer", "cancel", "routes", "members", "proof", "limit", "keyed"
+        "hello",   "status", "request", "answer",  "cancel", "routes",
+        "members", "proof",  "limit",   "crashes", "keyed"
     };
     return names[static_cast<std::size_t> (kind)];
 }
@@ -31,6 +32,8 @@
     FrameKind operator() (const ProofAnswer&) const noexcept { return FrameKind::proof; }
     FrameKind operator() (const LimitQuestion&) const noexcept { return FrameKind::limit; }
     FrameKind operator() (const LimitAnswer&) const noexcept { return FrameKind::limit; }
+    FrameKind operator() (const CrashNews&) const noexcept { return FrameKind::crashes; }
+    FrameKind operator() (const CrashPull&) const noexcept { return FrameKind::crashes; }
     template <class Other> FrameKind operator() (const Other&) const noexcept { return FrameKind::keyed; }
 };
 
--- a/modules/plankledge_runtime/LinkTraffic.h
+++ b/modules/plankledge_runtime/LinkTraffic.h
@@ -20,6 +20,7 @@
     members,
     proof,
     limit,
+    crashes,
     keyed, /**< of requests that are named by a key */
     frameKindCount
 };
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -76,6 +76,9 @@
     appendCounter (text, "dispatches_total", counters.m_dispatches);
     appendCounter (text, "lost_calls_total", counters.m_lostCalls);
     appendCounter (text, "redirects_total", counters.m_redirects);
+    appendCounter (text, "crash_reports_total", counters.m_crashReports);
+    appendCounter (text, "crashes_withdrawn_total", counters.m_crashesWithdrawn);
+    appendCounter (text, "acquittals_total", counters.m_acquittals);
     appendCounter (text, "late_answers_total", counters.m_lateAnswers);
     appendCounter (text, "pauses_total", counters.m_wakes);
 }
@@ -210,6 +213,8 @@
                      static_cast<double> (time.m_time.count()) / 1000.0);
 
     appendGauge (text, "target_failure_permille", gate.m_failurePermille);
+    appendGauge (text, "crashes_remembered", static_cast<double> (relay.crashes().ledger().crashes()));
+    appendGauge (text, "contents_held", static_cast<double> (relay.crashes().ledger().held()));
 
     if (const auto age = relay.keys().age (now); age.has_value())
         appendGauge (text, "configuration_proof_age_milliseconds",
--- a/modules/plankledge_wire/FrameCodec.h
+++ b/modules/plankledge_wire/FrameCodec.h
@@ -10,7 +10,7 @@
 {
 
 /** The version of the protocol between nodes; a peer of another version is refused. */
-inline constexpr std::uint16_t protocolVersion = 2;
+inline constexpr std::uint16_t protocolVersion = 3;
 
 /** No frame is longer; a longer claim ends the connection. */
 inline constexpr std::uint32_t maximumFrameBytes = 4U << 20U;
--- a/tests/support/CrashSite.cpp
+++ b/tests/support/CrashSite.cpp
@@ -48,9 +48,12 @@
     if (! target.m_isUp)
         return reply (instance, dispatch.m_call, TargetReplyKind::notSent, latency);
 
+    if (m_lostOneOf > 0 && m_random.below (m_lostOneOf) == 0)
+        return reply (instance, dispatch.m_call, TargetReplyKind::broken, work);
+
     target.m_running.insert (dispatch.m_call);
 
-    if (dispatch.m_content.m_path.starts_with (deadly))
+    if (m_isDeadly && dispatch.m_content.m_path.starts_with (deadly))
         m_crashesDue.emplace (now() + workToCrash, instance);
     else
         m_ends.emplace (now() + work, std::pair { instance, dispatch.m_call });
@@ -74,15 +77,46 @@
     target.m_running.clear();
 }
 
-void CrashSite::loseAnswer (const InstanceName& instance, CallId call)
+void CrashSite::restart (const InstanceName& instance)
 {
-    if (m_state.at (instance).m_running.erase (call) > 0)
-        reply (instance, call, TargetReplyKind::broken, latency);
+    start (instance);
+    tellAll (instance);
+    announce (instance);
 }
 
 Ticket CrashSite::sendAnywhere (const std::string& path)
 {
-    return send (m_nodes[m_random.below (m_nodes.size())], "request-" + std::to_string (++m_sent), path);
+    const auto ticket =
+        send (m_nodes[m_random.below (m_nodes.size())], "request-" + std::to_string (++m_sent), path);
+
+    if (m_repeats)
+        m_repeatable.emplace (ticket, path);
+
+    return ticket;
+}
+
+void CrashSite::repeatFailed()
+{
+    std::vector<std::string> again;
+
+    for (auto entry = m_repeatable.begin(); entry != m_repeatable.end();)
+    {
+        const auto answer = answers().find (entry->first);
+
+        if (answer == answers().end())
+        {
+            ++entry;
+            continue;
+        }
+
+        if (answer->second.m_result.m_outcome != Outcome::completed)
+            again.push_back (entry->second);
+
+        entry = m_repeatable.erase (entry);
+    }
+
+    for (const auto& path : again)
+        send (m_nodes[m_random.below (m_nodes.size())], "request-" + std::to_string (++m_sent), path);
 }
 
 //==============================================================================
@@ -115,6 +149,7 @@
         announce (instance);
     }
 
+    repeatFailed();
     run (plankledge::test::step);
 }
 
--- a/tests/support/CrashSite.h
+++ b/tests/support/CrashSite.h
@@ -31,8 +31,17 @@
     /** The node's target ends now. */
     void crash (const InstanceName& instance);
 
-    /** The target of the node breaks off one request, and lives. */
-    void loseAnswer (const InstanceName& instance, CallId call);
+    /** From now on targets break off one of so many requests, and live. */
+    void loseAnswers (unsigned oneOf) { m_lostOneOf = oneOf; }
+
+    /** From now on deadly requests are as others. */
+    void mend() { m_isDeadly = false; }
+
+    /** From now on senders ask once more, at any node, where no target's answer came. */
+    void repeatOnce() { m_repeats = true; }
+
+    /** Starts a node's process again; it knows nothing. */
+    void restart (const InstanceName& instance);
 
     /** Sends a request of the given path to any node. */
     Ticket sendAnywhere (const std::string& path);
@@ -67,6 +76,7 @@
         Time m_backAt;
     };
 
+    void repeatFailed();
     void onDispatch (const InstanceName& instance, const RelayToTarget& dispatch);
     void step();
 
@@ -78,6 +88,10 @@
     std::vector<Time> m_crashes;
     Random m_random { 7 };
     std::uint64_t m_sent = 0;
+    unsigned m_lostOneOf = 0;
+    bool m_isDeadly = true;
+    bool m_repeats = false;
+    std::map<Ticket, std::string> m_repeatable; /**< first sendings and their paths */
 };
 
 } // namespace plankledge::test
--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -167,6 +167,12 @@
     apply (instance, std::move (event));
 }
 
+void RelayRig::tellAll (const InstanceName& instance)
+{
+    apply (instance, MembersRead { m_members, {} });
+    apply (instance, RoutesRead { m_published });
+}
+
 //==============================================================================
 Ticket RelayRig::send (const InstanceName& instance, const std::string& id, const std::string& path,
                        Duration timeout, const Credential& credential)
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -104,6 +104,9 @@
     void publish (const RouteTable& routes);
     void tell (const InstanceName& instance, EventBody event);
 
+    /** Tells a node that has started again what all know: the members and the routes in force. */
+    void tellAll (const InstanceName& instance);
+
     //==============================================================================
     /** Sends a request to a node; its id must be new. */
     Ticket send (const InstanceName& instance, const std::string& id, const std::string& path,
