A store that comes back from an older copy: a place is an era and an offset

What would be seen: a node read on in the middle of a store that had come back some seconds older and had been written past that place; what was written again before it was never read, and the rest was confirmed as all there is, so that a removed key could be served for good. Records that nodes had written in the lost seconds stayed gone, and nodes that start later would not hear of them.

Cause: a place in the store was a bare offset, and a loss was told by 410 or an end before the place alone.

StorePlace (era, offset) replaces the offset in reads, in the book, in what followers tell. Another era: all is listed again; own records that it lacks are written again, spread; nothing is confirmed before the store shows the version in force.

Why it holds: no two places of different eras are equal, and the order of places is the order of time.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -185,12 +185,29 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_callId); }
 };
 
+/** Rises when the store comes back from an older copy of itself: offsets are given out again, and what was
+   written since the copy is gone. */
+using StoreEra = std::uint64_t;
+
+/** A place in a topic of the store. All places of a later era come after those of the ones before. */
+struct StorePlace
+{
+    StoreEra m_era = 0;
+    LogOffset m_offset = -1; /**< -1: not known */
+
+    auto operator<=> (const StorePlace&) const = default;
+
+    bool isKnown() const noexcept { return m_offset >= 0; }
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_era, m_offset); }
+};
+
 /** What a node has of the platform's store. */
 struct StoreView
 {
-    LogOffset m_membersEnd = -1; /**< it knows all records of members before this one; -1: none */
-    bool m_isFollowing = false;  /**< it reads the store itself, and tells others what it reads */
-    bool m_isReached = true;     /**< false: the store does not answer it */
+    StorePlace m_membersEnd;    /**< it knows all records of members before this place */
+    bool m_isFollowing = false; /**< it reads the store itself, and tells others what it reads */
+    bool m_isReached = true;    /**< false: the store does not answer it */
 
     auto operator<=> (const StoreView&) const = default;
 
@@ -243,7 +260,7 @@
 /** Asks for the members that changed since the asker's view of the store. */
 struct MembersPull
 {
-    LogOffset m_have = -1; /**< the asker's StoreView::m_membersEnd */
+    StorePlace m_have; /**< the asker's StoreView::m_membersEnd */
 
     auto operator<=> (const MembersPull&) const = default;
 
@@ -255,7 +272,7 @@
 {
     std::vector<Member> m_members;
     std::vector<InstanceName> m_withdrawn;
-    LogOffset m_end = -1; /**< the teller's StoreView::m_membersEnd */
+    StorePlace m_end; /**< the teller's StoreView::m_membersEnd */
 
     auto operator<=> (const MembersTold&) const = default;
 
--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -34,6 +34,7 @@
     std::uint64_t m_crashReports = 0;           /**< findings that the own target ended under requests */
     std::uint64_t m_crashesWithdrawn = 0;       /**< of these, where it was seen to live after all */
     std::uint64_t m_acquittals = 0;             /**< suspects that the own target ran to their end */
+    std::uint64_t m_storeRestores = 0;          /**< the store came back from an older copy of itself */
     std::uint64_t m_lateAnswers = 0;            /**< of calls already given up on */
     std::uint64_t m_attached = 0;               /**< resendings that joined the running request */
     std::uint64_t m_replayed = 0;               /**< resendings answered from the record */
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -221,7 +221,7 @@
 {
     StoreTopic m_topic = StoreTopic::members;
     TopicReading m_reading = TopicReading::rest;
-    LogOffset m_from = -1; /**< to follow: all records before this one are known; -1: it is listed first */
+    StorePlace m_from; /**< to follow: all records before this one are known; not known: it is listed first */
     Duration
         m_longestWait {}; /**< to follow: a read without news ends after this, so that a store which falls
                              silent is noticed, and its return; 0: as long as the store lets it wait */
@@ -281,6 +281,7 @@
     crashReported,
     crashWithdrawn,
     contentHeld,
+    storeRestored,
     decisionCount
 };
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -363,7 +363,7 @@
     std::vector<Member> m_members;
     std::vector<InstanceName> m_withdrawn;
     std::vector<InstanceName> m_unreadable {}; /**< whose newest record says nothing that can be read */
-    LogOffset m_end = -1;                      /**< of the records that are known now; -1: not all are yet */
+    StorePlace m_end {}; /**< of the records that are known now; without an offset: not all are yet */
 
     auto operator<=> (const MembersRead&) const = default;
 
@@ -373,6 +373,16 @@
     }
 };
 
+/** The store came back from an older copy of itself, and is read anew. */
+struct StoreRestored
+{
+    StoreEra m_era = 0;
+
+    auto operator<=> (const StoreRestored&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_era); }
+};
+
 /** The store answers again, or no longer does. */
 struct StoreReached
 {
@@ -387,7 +397,7 @@
     std::variant<TimePassed, RequestReceived, RequesterGone, PeerMessageReceived, PeerUnreachable, PeerLost,
                  LinkClosed, RumourReceived, TargetAnswered, TargetFailed, TargetObserved, ListReceived,
                  ConfigurationRead, JoinsRead, StopRequested, RelayRequestReceived, TargetReply,
-                 TargetAnnounced, RoutesRead, RoutesConfirmed, MembersRead, StoreReached>;
+                 TargetAnnounced, RoutesRead, RoutesConfirmed, MembersRead, StoreReached, StoreRestored>;
 
 //==============================================================================
 struct Event
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -183,11 +183,22 @@
 
 void RelayDecisions::handle (const RoutesConfirmed& event)
 {
-    // What can't be read may have taken keys away.
-    if (m_isNewestReadable)
+    // What can't be read may have taken keys away. A store that came back from an older copy says nothing
+    // about what was written since the copy, until that stands there again.
+    if (m_versionInStore.has_value() && *m_versionInStore >= m_routes.version())
         m_keys.onConfirmed (Time (event.m_askedAt));
 }
 
+void RelayDecisions::handle (const StoreRestored& event)
+{
+    m_versionInStore.reset();
+    ++m_turn.counters().m_storeRestores;
+    m_turn.emit (LogDecision { Decision::storeRestored,
+                               {},
+                               { { "era", fmt::format ("{}", event.m_era) },
+                                 { "version", fmt::format ("{}", m_routes.version()) } } });
+}
+
 void RelayDecisions::onRoutesInForce()
 {
     m_keys.onRoutes (m_turn, m_routes.table(), m_store.watcher());
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -59,9 +59,10 @@
     void handle (const LinkClosed& event);
     void handle (const RoutesRead& event)
     {
-        m_isNewestReadable = m_routes.onText (m_turn, event.m_text, "store");
+        m_versionInStore = m_routes.onText (m_turn, event.m_text, "store");
     }
     void handle (const RoutesConfirmed& event);
+    void handle (const StoreRestored& event);
     void handle (const PeerUnreachable& event);
     void handle (const PeerLost& event);
     void handle (const MembersRead& event);
@@ -121,7 +122,8 @@
     RelayEntry m_entry;
     Time m_windowAt;
     std::optional<Time> m_stoppedAt;
-    bool m_isNewestReadable = true; /**< of the versions that were read from the store */
+    std::optional<ConfigurationVersion> m_versionInStore; /**< the newest that was read there; nullopt: none
+                                                             in this era of it, or one that can't be read */
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/access/KeyGuard.cpp
+++ b/modules/plankledge_policy/relay/access/KeyGuard.cpp
@@ -151,7 +151,7 @@
 void KeyGuard::readStore (Turn& turn)
 {
     m_readAt = turn.now();
-    turn.emit (ReadTopic { StoreTopic::routes, TopicReading::once, -1, {} });
+    turn.emit (ReadTopic { StoreTopic::routes, TopicReading::once, {}, {} });
 }
 
 void KeyGuard::noteChange (Turn& turn)
--- a/modules/plankledge_policy/relay/routes/RouteFollower.cpp
+++ b/modules/plankledge_policy/relay/routes/RouteFollower.cpp
@@ -20,10 +20,11 @@
 {
 }
 
-bool RouteFollower::onText (Turn& turn, const std::string& text, const std::string& source)
+std::optional<ConfigurationVersion> RouteFollower::onText (Turn& turn, const std::string& text,
+                                                           const std::string& source)
 {
     if (text == m_text)
-        return true;
+        return version();
 
     auto table = m_parser (text);
 
@@ -34,11 +35,11 @@
             LogDecision { Decision::routesInvalid,
                           {},
                           { { "source", source }, { "error", std::string (table.status().message()) } } });
-        return false;
+        return std::nullopt;
     }
 
     if (table->version() <= version())
-        return true;
+        return table->version();
 
     turn.emit (LogDecision { Decision::routesInForce,
                              {},
@@ -48,7 +49,7 @@
     m_table = *std::move (table);
     m_text = text;
     m_onInForce();
-    return true;
+    return version();
 }
 
 void RouteFollower::onPeerVersion (Turn& turn, const InstanceName& peer, const Endpoint& endpoint,
--- a/modules/plankledge_policy/relay/routes/RouteFollower.h
+++ b/modules/plankledge_policy/relay/routes/RouteFollower.h
@@ -4,6 +4,7 @@
 #include "plankledge_policy/relay/routes/RouteTable.h"
 
 #include <functional>
+#include <optional>
 
 namespace plankledge
 {
@@ -25,9 +26,10 @@
     /** Takes in the text of a version, whoever had it.
 
         @param source   for the log: "store" or a peer's instance
-        @returns whether it could be read
+        @returns the version that it is; nullopt: it can't be read
     */
-    bool onText (Turn& turn, const std::string& text, const std::string& source);
+    std::optional<ConfigurationVersion> onText (Turn& turn, const std::string& text,
+                                                const std::string& source);
 
     /** A peer said which version it has in force. */
     void onPeerVersion (Turn& turn, const InstanceName& peer, const Endpoint& endpoint,
--- a/modules/plankledge_policy/relay/store/MemberBook.cpp
+++ b/modules/plankledge_policy/relay/store/MemberBook.cpp
@@ -1,32 +1,38 @@
 #include "plankledge_policy/relay/store/MemberBook.h"
 
+#include <utility>
+
 namespace plankledge
 {
 
 void MemberBook::take (const MembersRead& read)
 {
+    if (read.m_end.m_era < m_end.m_era)
+        return; // late word of what the store was before
+
+    // Pages of two eras never mix.
+    if (std::exchange (m_listedEra, read.m_end.m_era) != read.m_end.m_era)
+        m_listed.clear();
+
     for (const auto& member : read.m_members)
-        note (member.m_id.m_instance, member, read.m_end);
+        note (member.m_id.m_instance, member);
 
     for (const auto& instance : read.m_withdrawn)
-        note (instance, std::nullopt, read.m_end);
+        note (instance, std::nullopt);
 
-    if (read.m_end < 0)
+    if (! read.m_end.isKnown())
         return;
 
-    m_end = read.m_end;
+    if (read.m_end.m_era != m_end.m_era)
+        m_entries.clear();
 
-    for (auto& [instance, entry] : m_entries)
-        if (entry.m_changedAt < 0)
-            entry.m_changedAt = m_end;
-}
+    m_end = read.m_end;
 
-void MemberBook::note (const InstanceName& instance, std::optional<Member> member, LogOffset end)
-{
-    m_entries[instance] = { std::move (member), end };
+    for (auto& [instance, member] : std::exchange (m_listed, {}))
+        m_entries[instance] = { std::move (member), m_end };
 }
 
-MembersTold MemberBook::since (LogOffset have) const
+MembersTold MemberBook::since (const StorePlace& have) const
 {
     MembersTold told;
     told.m_end = m_end;
--- a/modules/plankledge_policy/relay/store/MemberBook.h
+++ b/modules/plankledge_policy/relay/store/MemberBook.h
@@ -15,6 +15,9 @@
 
     A record counts as changed where the read that brought it ended: that is not before its
     own place, so whoever has less is told it, some perhaps twice.
+
+    Of a new era of the store only what its listing holds stands here: what the copy lacks has to be written
+   again. That the nodes exist is known all the same (see PeerTable).
 */
 class MemberBook
 {
@@ -23,11 +26,11 @@
     /** Takes in what was read, by this node or by the one that tells it. */
     void take (const MembersRead& read);
 
-    /** @returns the end of what is known; -1 while not all records are */
-    LogOffset end() const noexcept { return m_end; }
+    /** @returns the end of what is known; without an offset while not all records are */
+    StorePlace end() const noexcept { return m_end; }
 
     /** @returns what changed since a peer's end */
-    MembersTold since (LogOffset have) const;
+    MembersTold since (const StorePlace& have) const;
 
     /** @returns whether the store has a record of this instance with its service and address; in which of the
         instance's lives it was written does not matter */
@@ -38,13 +41,18 @@
     struct Entry
     {
         std::optional<Member> m_member; /**< nullopt: withdrawn */
-        LogOffset m_changedAt = -1;     /**< -1: in the listing that is under way */
+        StorePlace m_changedAt;
     };
 
-    void note (const InstanceName& instance, std::optional<Member> member, LogOffset end);
+    void note (const InstanceName& instance, std::optional<Member> member)
+    {
+        m_listed[instance] = std::move (member);
+    }
 
     std::map<InstanceName, Entry> m_entries;
-    LogOffset m_end = -1;
+    std::map<InstanceName, std::optional<Member>> m_listed; /**< by a listing that is under way */
+    StoreEra m_listedEra = 0;
+    StorePlace m_end;
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/store/StoreSync.cpp
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -40,6 +40,10 @@
  */
 constexpr Duration patienceForProofs = Milliseconds (300);
 
+/** Of a store that takes several hundred appends a second all nodes together use up to 330, where it has lost
+ * their records. */
+constexpr Duration writingTime = Milliseconds (3);
+
 /** Between two hellos to a follower that does not answer; sooner while this node has nothing to go by. */
 constexpr Duration askAgainAfter = Milliseconds (700);
 constexpr Duration askAgainWithoutRoutes = Milliseconds (150);
@@ -78,10 +82,10 @@
 
     m_listAt.reset();
 
-    if (m_book.end() >= 0)
+    if (m_book.end().isKnown())
         return; // told by a node that was sooner
 
-    turn.emit (ReadTopic { StoreTopic::members, TopicReading::once, -1, {} });
+    turn.emit (ReadTopic { StoreTopic::members, TopicReading::once, {}, {} });
 }
 
 //==============================================================================
@@ -93,10 +97,11 @@
     noteFollowers (turn.now());
 
     // Before the members are known every node looks like the only one.
-    const bool isChosen = m_chosen.m_isSelf && m_book.end() >= 0;
+    const bool isChosen = m_chosen.m_isSelf && m_book.end().isKnown();
     const bool isAlone = isIsolated (turn.now());
     setFollowing (turn, isChosen || isAlone, isAlone || m_chosen.m_isFirst, isChosen ? "chosen" : "alone");
     readRoutesOnce (turn, areRoutesKnown);
+    writeAgainWhenDue (turn);
     withdrawDead (turn);
 }
 
@@ -157,7 +162,7 @@
     m_readsWait = wait;
     const auto reading = isFollowing ? TopicReading::follow : TopicReading::rest;
     turn.emit (ReadTopic { StoreTopic::members, reading, m_book.end(), {} });
-    turn.emit (ReadTopic { StoreTopic::routes, reading, -1, wait });
+    turn.emit (ReadTopic { StoreTopic::routes, reading, {}, wait });
 
     if (! isChange)
         return;
@@ -176,7 +181,7 @@
 
     m_routesAt = turn.now() + m_routesPause;
     m_routesPause = std::min (m_routesPause * 2, longestRoutesPause);
-    turn.emit (ReadTopic { StoreTopic::routes, TopicReading::once, -1, {} });
+    turn.emit (ReadTopic { StoreTopic::routes, TopicReading::once, {}, {} });
 }
 
 void StoreSync::onPause (Time now)
@@ -209,8 +214,8 @@
         return false;
 
     // What was listed so far is told whole.
-    if (m_book.end() < 0 && ! m_isFollowing)
-        turn.emit (ReadTopic { StoreTopic::members, TopicReading::rest, -1, {} });
+    if (! m_book.end().isKnown() && ! m_isFollowing)
+        turn.emit (ReadTopic { StoreTopic::members, TopicReading::rest, {}, {} });
 
     const MembersRead read { told.m_members, told.m_withdrawn, {}, told.m_end };
     m_book.take (read);
@@ -224,7 +229,7 @@
         return;
 
     // Bytes between zones are dear, and each zone has nodes that read the store, unless it turns them away.
-    const bool isNear = peer.m_member.m_zone == m_self.m_zone || m_book.end() < 0;
+    const bool isNear = peer.m_member.m_zone == m_self.m_zone || ! m_book.end().isKnown();
 
     if (! isNear && turn.now() - m_readerSeenAt <= patience)
         return;
@@ -263,7 +268,16 @@
             return isSelf (member.m_id.m_instance) && ! m_book.names (m_self);
         });
 
-    if (m_book.end() < 0 || (m_isPublished && ! isGone && ! isOther))
+    if (! m_book.end().isKnown())
+        return;
+
+    const auto era = m_book.end().m_era;
+    const bool isOtherEra = std::exchange (m_checkedEra, era) != era;
+
+    if (isOtherEra && m_isPublished && ! m_book.names (m_self))
+        return writeAgainSoon (turn);
+
+    if (m_isPublished && ! isGone && ! isOther)
         return;
 
     m_isPublished = true;
@@ -274,6 +288,27 @@
     publish (turn, isGone ? "gone" : isOther ? "another address" : "none there");
 }
 
+/** Without the spread all nodes whose records the copy lacks would write at once, and the store turn most of
+ * them away. */
+void StoreSync::writeAgainSoon (Turn& turn)
+{
+    const auto spread = writingTime * static_cast<Duration::rep> (m_peers.size());
+    m_writeAgainAt = turn.now() + Duration (static_cast<Duration::rep> (
+                                      turn.random().below (static_cast<std::uint64_t> (spread.count()) + 1)));
+}
+
+void StoreSync::writeAgainWhenDue (Turn& turn)
+{
+    if (! m_writeAgainAt.has_value() || turn.now() < *m_writeAgainAt)
+        return;
+
+    m_writeAgainAt.reset();
+
+    // A write that was under way when the store came back may have taken effect.
+    if (! m_book.names (m_self))
+        publish (turn, "lost by the store");
+}
+
 void StoreSync::publish (Turn& turn, const char* reason)
 {
     m_isPublished = true;
--- a/modules/plankledge_policy/relay/store/StoreSync.h
+++ b/modules/plankledge_policy/relay/store/StoreSync.h
@@ -80,7 +80,7 @@
     std::vector<const Peer*> due (Time now, bool areRoutesKnown) const;
 
     StoreView view() const noexcept { return { m_book.end(), m_isFollowing, m_isReached }; }
-    MembersTold since (LogOffset have) const { return m_book.since (have); }
+    MembersTold since (const StorePlace& have) const { return m_book.since (have); }
 
 private:
     //==============================================================================
@@ -92,6 +92,8 @@
     void listWhenDue (Turn& turn);
     void publish (Turn& turn, const char* reason);
     void keepOwnRecord (Turn& turn, const MembersRead& read);
+    void writeAgainSoon (Turn& turn);
+    void writeAgainWhenDue (Turn& turn);
     void withdrawDead (Turn& turn);
     bool isIsolated (Time now) const noexcept { return now - m_followerSeenAt > patience; }
 
@@ -113,6 +115,8 @@
     Duration m_longestRead {}; /**< of the watchful follower */
     Duration m_readsWait {};   /**< while following: of this node's reads; zero: any, another is watchful */
     bool m_isReached = true;
+    StoreEra m_checkedEra = 0;          /**< of the book in which the own record was looked for last */
+    std::optional<Time> m_writeAgainAt; /**< the own record, which the store has lost */
     bool m_isPublished = false;
 };
 
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -78,6 +78,7 @@
     appendCounter (text, "redirects_total", counters.m_redirects);
     appendCounter (text, "crash_reports_total", counters.m_crashReports);
     appendCounter (text, "crashes_withdrawn_total", counters.m_crashesWithdrawn);
+    appendCounter (text, "store_restores_total", counters.m_storeRestores);
     appendCounter (text, "acquittals_total", counters.m_acquittals);
     appendCounter (text, "late_answers_total", counters.m_lateAnswers);
     appendCounter (text, "pauses_total", counters.m_wakes);
--- a/tests/platform/BadRecordsFuzz_test.cpp
+++ b/tests/platform/BadRecordsFuzz_test.cpp
@@ -235,15 +235,19 @@
 {
     Spoiler spoiler (5);
     const Member member { { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::serving, 0 };
-    const PeerMessage messages[] = { PeerHello { member, 3, {}, {}, true, { 17, true, true } },
-                                     PeerStatus {
-                                         3, {}, { { "route", Milliseconds (5) } }, std::nullopt, {} },
-                                     MembersPull { 12 },
-                                     MembersTold { { member }, { "node-2" }, 18 },
-                                     ProofQuestion { Milliseconds (5) },
-                                     ProofAnswer { Milliseconds (5), 3, Milliseconds (9) },
-                                     LimitQuestion { 7, "pulo780" },
-                                     LimitAnswer { 7, LimitVerdict::beyond, Milliseconds (4) } };
+    const PeerMessage messages[] = {
+        PeerHello { member, 3, {}, {}, true, { { 1, 17 }, true, true } },
+        PeerStatus { 3, {}, { { "route", Milliseconds (5) } }, std::nullopt, {} },
+        MembersPull { { 1, 12 } },
+        MembersTold { { member }, { "node-2" }, { 1, 18 } },
+        ProofQuestion { Milliseconds (5) },
+        ProofAnswer { Milliseconds (5), 3, Milliseconds (9) },
+        LimitQuestion { 7, "pulo780" },
+        LimitAnswer { 7, LimitVerdict::beyond, Milliseconds (4) },
+        CrashNews { { { { { "node-1", 7 }, 3 }, Milliseconds (5), false, { 1, 2 } } },
+                    { { 7, Milliseconds (5) } } },
+        CrashPull { 7 }
+    };
 
     for (unsigned trial = 0; trial < trials(); ++trial)
     {
@@ -263,12 +267,12 @@
 {
     const Member member { { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::serving, 0 };
     const Frame frames[] = {
-        { protocolVersion, { "node-1", 7 }, "node-3", MembersTold { { member }, { "node-2" }, 18 } },
-        { protocolVersion, { "node-1", 7 }, "node-3", MembersPull { 12 } },
+        { protocolVersion, { "node-1", 7 }, "node-3", MembersTold { { member }, { "node-2" }, { 1, 18 } } },
+        { protocolVersion, { "node-1", 7 }, "node-3", MembersPull { { 1, 12 } } },
         { protocolVersion,
           { "node-1", 7 },
           "node-3",
-          PeerHello { member, 3, {}, {}, true, { 17, true, false } } }
+          PeerHello { member, 3, {}, {}, true, { { 1, 17 }, true, false } } }
     };
 
     for (const auto& frame : frames)
--- a/tests/platform/Store_test.cpp
+++ b/tests/platform/Store_test.cpp
@@ -22,7 +22,7 @@
 /** Follows a topic of the stand-in and remembers what it was told. */
 struct Follower
 {
-    Follower() { m_topic.follow (-1, {}); }
+    Follower() { m_topic.follow ({}, {}); }
 
     /** Runs until the condition holds, or in vain. */
     bool runUntil (const std::function<bool()>& condition)
@@ -44,17 +44,21 @@
     StoreStandin m_store { m_context };
     StoreClient m_client { m_context, m_store.endpoint() };
     std::map<std::string, std::string> m_values;
+    std::map<std::string, std::string> m_confirmed; /**< what was known when it was confirmed last */
+    std::vector<StoreEra> m_eras;                   /**< that the store came back with */
     unsigned m_lost = 0;
     unsigned m_regained = 0;
     KeyedTopic m_topic { m_context,
                          m_client,
                          topicName,
                          {},
-                         { [this] (const KeyedPage& page, LogOffset) {
+                         { [this] (const KeyedPage& page, const StorePlace&) {
                               for (const auto& record : page.m_records)
                                   m_values[record.m_key] = record.m_value;
                           },
-                           [this] (const absl::Status& status) { ++(status.ok() ? m_regained : m_lost); } } };
+                           [this] (const absl::Status& status) { ++(status.ok() ? m_regained : m_lost); },
+                           [this] (Time) { m_confirmed = m_values; },
+                           [this] (StoreEra era) { m_eras.push_back (era); } } };
 };
 
 struct FaultRow
@@ -121,6 +125,91 @@
     }
 }
 
+//==============================================================================
+/*  A store came back from a copy some seconds old, and others wrote past the place at which a node read on.
+   It went on in the middle: what had been written again before that place was never read, and the rest was
+   taken for all there is. */
+TEST_CASE ("a store that comes back from an older copy is listed again before anything of it is confirmed")
+{
+    Follower follower;
+    follower.m_store.put (topicName, "removed", "1");
+    REQUIRE (follower.comesToHold ("removed", "1"));
+    const auto copy = follower.m_store.copy();
+    follower.m_store.put (topicName, "kept", "1");
+    follower.m_store.put (topicName, "removed", "");
+    REQUIRE (follower.comesToHold ("removed", ""));
+
+    // Written again, in another order and behind other records: the place that was read up to lies in the
+    // middle.
+    follower.m_store.restore (copy);
+    follower.m_store.put (topicName, "removed", "2");
+    follower.m_store.put (topicName, "other", "1");
+    follower.m_store.put (topicName, "other", "2");
+    follower.m_store.put (topicName, "kept", "2");
+    REQUIRE (follower.comesToHold ("kept", "2"));
+    CHECK (follower.comesToHold ("removed", "2"));
+    CHECK (follower.runUntil ([&] { return follower.m_confirmed == follower.m_values; }));
+    CHECK (follower.m_eras == std::vector<StoreEra> { 2 });
+}
+
+TEST_CASE ("two copies within a second, the second one while the first is listed")
+{
+    Follower follower;
+
+    for (const auto* key : { "a", "b", "c", "d", "e", "f", "g" })
+        follower.m_store.put (topicName, key, "1");
+
+    REQUIRE (follower.comesToHold ("g", "1"));
+    const auto copy = follower.m_store.copy();
+    follower.m_store.put (topicName, "a", "2");
+    REQUIRE (follower.comesToHold ("a", "2"));
+    follower.m_store.restore (copy);
+    follower.runUntil ([&] { return ! follower.m_eras.empty(); });
+    follower.m_store.restore (copy);
+    follower.m_store.put (topicName, "a", "3");
+    CHECK (follower.comesToHold ("a", "3"));
+    CHECK (follower.m_eras == std::vector<StoreEra> { 2, 3 });
+}
+
+TEST_CASE ("the era that an answer tells, whatever stands in its header")
+{
+    const auto eraOf = [] (const std::string& value) {
+        return decodeEra ({ { "Content-Type", "application/json" }, { "Store-Era", value } });
+    };
+    CHECK (eraOf ("7") == StoreEra (7));
+    CHECK (decodeEra ({}) == std::nullopt);
+
+    for (const auto* bad : { "", "x", "-1", "1.5", "99999999999999999999999", "18446744073709551615" })
+    {
+        CAPTURE (bad);
+        CHECK (eraOf (bad) == std::nullopt);
+    }
+}
+
+TEST_CASE ("answers that tell no era are of the one that was heard last, and later ones of an earlier era "
+           "are not believed")
+{
+    Follower follower;
+    follower.m_store.put (topicName, "a", "1");
+    REQUIRE (follower.comesToHold ("a", "1"));
+
+    for (const auto* spoiled : { "-", "none", "99999999999999999999999" })
+    {
+        CAPTURE (spoiled);
+        follower.m_store.spoilEra (spoiled);
+        follower.m_store.put (topicName, "a", spoiled);
+        CHECK (follower.comesToHold ("a", spoiled));
+    }
+
+    follower.m_store.spoilEra ("0");
+    follower.m_store.put (topicName, "a", "of the past");
+    CHECK (follower.runUntil ([&] { return follower.m_lost > 0; }));
+    CHECK (follower.m_values.at ("a") != "of the past");
+    follower.m_store.spoilEra ({});
+    CHECK (follower.comesToHold ("a", "of the past"));
+    CHECK (follower.m_eras.empty());
+}
+
 //==============================================================================
 TEST_CASE ("the node's own record is appended until it is read back")
 {
--- a/tests/relay/access/KeyGuard_test.cpp
+++ b/tests/relay/access/KeyGuard_test.cpp
@@ -241,6 +241,27 @@
     }
 }
 
+/*  A store that comes back from an older copy answers as if nothing had been written since: taken for a
+   proof, a removal of a key that was lost with it would be undone for as long as it is not written again. */
+TEST_CASE ("a store that came back without the newest version proves nothing until that stands there again")
+{
+    KeyFleet fleet (15, 3);
+    fleet.load (seconds (1));
+    fleet.write (tableWith (2, { "key-1" }));
+    fleet.load (seconds (1));
+    fleet.restoreCopy (0, 1);
+    fleet.load (bound + seconds (1));
+
+    for (const auto& name : fleet.names())
+        CHECK_FALSE (fleet.reducer (name).relay().keys().isProven (fleet.now()));
+
+    fleet.write (tableWith (2, { "key-1" }));
+    fleet.load (seconds (3));
+
+    for (const auto& name : fleet.names())
+        CHECK (fleet.reducer (name).relay().keys().isProven (fleet.now()));
+}
+
 TEST_CASE ("a node that stood still uses no key by what it knew before, nor what waited in it")
 {
     KeyFleet fleet (6, 1);
--- a/tests/relay/store/StoreFollowers_test.cpp
+++ b/tests/relay/store/StoreFollowers_test.cpp
@@ -198,4 +198,68 @@
             CHECK (fleet.hasRecordOf (name));
 }
 
+//==============================================================================
+/*  A store may come back from a copy some seconds old. What nodes wrote since is gone from it, and a node
+   that starts later would never hear of them. */
+TEST_CASE (
+    "records that a store lost with its newest seconds stand there again within two seconds, at few calls")
+{
+    for (const unsigned nodes : { 15U, 68U, 194U })
+    {
+        CAPTURE (nodes);
+        StartedFleet fleet (nodes);
+        fleet.restoreCopy (nodes, 0); // all of them
+        const auto before = fleet.calls();
+        fleet.run (seconds (2));
+        const auto calls = fleet.calls() - before;
+
+        for (const auto& name : fleet.names())
+            CHECK (fleet.hasRecordOf (name));
+
+        // Each writes once; the followers of the zones read.
+        CHECK (calls <= nodes + 20 * zones);
+        MESSAGE (nodes, " nodes: ", calls, " calls");
+
+        fleet.join ("newcomer", "zone-1");
+        fleet.run (seconds (4));
+        CHECK (fleet.nodesKnowing ("newcomer") == nodes + 1);
+    }
+}
+
+TEST_CASE ("two copies within a second, and one while some nodes are turned away")
+{
+    StartedFleet fleet (68);
+
+    for (unsigned index = 0; index < 12; ++index)
+        fleet.turnAway (fleet.names()[index]);
+
+    fleet.restoreCopy (40, 0);
+    fleet.run (Milliseconds (300));
+    fleet.restoreCopy (10, 0);
+    fleet.run (seconds (2));
+    fleet.letAllIn();
+    fleet.run (seconds (4));
+
+    for (const auto& name : fleet.names())
+    {
+        CAPTURE (name);
+        CHECK (fleet.hasRecordOf (name));
+        CHECK (fleet.nodesKnowing (name) == fleet.names().size());
+    }
+}
+
+TEST_CASE ("routes in force don't go back with the store, and a version that is written again is no news")
+{
+    StartedFleet fleet (68);
+    fleet.write (2);
+    fleet.run (seconds (2));
+    REQUIRE (fleet.nodesWith (2) == 68);
+    fleet.restoreCopy (0, 1);
+    fleet.run (seconds (2));
+    CHECK (fleet.nodesWith (2) == 68);
+    fleet.write (2);
+    fleet.write (3);
+    CHECK (fleet.timeUntilInForce (3, seconds (5)) <= seconds (1));
+}
+
 } // namespace plankledge::test
--- a/tests/support/StoreFleet.cpp
+++ b/tests/support/StoreFleet.cpp
@@ -70,6 +70,13 @@
     m_routes.push_back (nameRoutes (routes));
 }
 
+void StoreFleet::restoreCopy (std::size_t recordsLost, std::size_t versionsLost)
+{
+    ++m_era;
+    m_records.resize (m_records.size() - std::min (recordsLost, m_records.size()));
+    m_routes.resize (m_routes.size() - std::min (versionsLost, m_routes.size()));
+}
+
 void StoreFleet::drop (const InstanceName& instance)
 {
     m_records.emplace_back (instance, std::nullopt);
@@ -97,7 +104,8 @@
     {
         auto& reader = m_readers[{ instance, read->m_topic }];
         reader.m_reading = read->m_reading;
-        reader.m_next = read->m_reading == TopicReading::once ? -1 : std::max (reader.m_next, read->m_from);
+        reader.m_next =
+            read->m_reading == TopicReading::once ? StorePlace() : std::max (reader.m_next, read->m_from);
 
         if (std::exchange (reader.m_longestWait, read->m_longestWait) != read->m_longestWait)
         {
@@ -126,9 +134,10 @@
     return ! m_isDown && ! m_turnedAway.contains (instance);
 }
 
-LogOffset StoreFleet::endOf (StoreTopic topic) const
+StorePlace StoreFleet::endOf (StoreTopic topic) const
 {
-    return static_cast<LogOffset> (topic == StoreTopic::members ? m_records.size() : m_routes.size());
+    return { m_era,
+             static_cast<LogOffset> (topic == StoreTopic::members ? m_records.size() : m_routes.size()) };
 }
 
 //==============================================================================
@@ -176,7 +185,7 @@
     reader.m_isLost = false;
     reader.m_waitsSince = now();
 
-    if (reader.m_next < 0)
+    if (! reader.m_next.isKnown())
         answer (instance, topic, reader);
 }
 
@@ -199,6 +208,9 @@
     reader.m_isWaiting = false;
     reader.m_asksAtOnce = false;
 
+    if (topic == StoreTopic::routes && from.isKnown() && from.m_era != m_era)
+        tell (instance, StoreRestored { m_era });
+
     if (from == endOf (topic))
         return confirm (instance, topic, reader); // it waited in vain
 
@@ -216,7 +228,10 @@
     reader.m_notBefore = now() + pauseBetweenReads;
     std::map<InstanceName, std::optional<Member>> newest;
 
-    for (auto offset = std::max<LogOffset> (0, from); offset < endOf (topic); ++offset)
+    // Where the copy begins anew all is read again.
+    const auto first = from.m_era == m_era ? std::max<LogOffset> (0, from.m_offset) : 0;
+
+    for (auto offset = first; offset < endOf (topic).m_offset; ++offset)
         newest[m_records[static_cast<std::size_t> (offset)].first] =
             m_records[static_cast<std::size_t> (offset)].second;
 
--- a/tests/support/StoreFleet.h
+++ b/tests/support/StoreFleet.h
@@ -36,6 +36,10 @@
     /** Removes a node's record behind its back. */
     void drop (const InstanceName& instance);
 
+    /** The store comes back from an older copy: it has lost the newest records of nodes, and versions of the
+       routes. Offsets go back and are given out again. */
+    void restoreCopy (std::size_t recordsLost, std::size_t versionsLost);
+
     void setDown (bool isDown) { m_isDown = isDown; }
     void turnAway (const InstanceName& instance) { m_turnedAway.insert (instance); }
     void letAllIn() { m_turnedAway.clear(); }
@@ -60,9 +64,9 @@
     struct Reader
     {
         TopicReading m_reading = TopicReading::rest;
-        LogOffset m_next = -1; /**< -1: to be listed */
-        Time m_notBefore;      /**< of the next call */
-        Time m_waitsSince;     /**< of the call that waits */
+        StorePlace m_next; /**< not known: to be listed */
+        Time m_notBefore;  /**< of the next call */
+        Time m_waitsSince; /**< of the call that waits */
         bool m_isWaiting = false;
         bool m_isLost = false; /**< what it waits for: the store fell silent meanwhile */
         bool m_isReached = true;
@@ -79,7 +83,7 @@
     void answer (const InstanceName& instance, StoreTopic topic, Reader& reader);
     void confirm (const InstanceName& instance, StoreTopic topic, const Reader& reader);
     bool isReachable (const InstanceName& instance) const;
-    LogOffset endOf (StoreTopic topic) const;
+    StorePlace endOf (StoreTopic topic) const;
 
     std::vector<InstanceName> m_names;
     std::vector<std::pair<InstanceName, std::optional<Member>>> m_records;
@@ -88,6 +92,7 @@
     std::vector<std::pair<InstanceName, Effect>> m_wanted; /**< since the last step */
     std::set<InstanceName> m_turnedAway;
     std::uint64_t m_calls = 0;
+    StoreEra m_era = 1;
     bool m_isDown = false;
 };
 
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -61,8 +61,19 @@
         throw std::runtime_error ("the store's stand-in can't listen");
 }
 
-std::function<void()> StoreStandin::onRequest (const HttpRequest& request, const HttpServer::Respond& respond)
+/** @returns what answers with the era that the store has by then */
+HttpServer::Respond StoreStandin::withEra (const HttpServer::Respond& respond) const
+{
+    return [this, respond] (HttpResponse response) {
+        response.m_headers.emplace_back ("Store-Era",
+                                         m_spoiledEra.empty() ? std::to_string (m_era) : m_spoiledEra);
+        respond (std::move (response));
+    };
+}
+
+std::function<void()> StoreStandin::onRequest (const HttpRequest& request, const HttpServer::Respond& answer)
 {
+    const auto respond = withEra (answer);
     const auto topic = queryValue (request.m_target, "topic");
 
     if (m_fault == Fault::silent)
@@ -73,12 +84,12 @@
         respond (makeStatus (429));
     else if (request.m_target.starts_with ("/-/log-append"))
     {
-        const auto answer = append (request, topic);
+        const auto appended = append (request, topic);
 
         if (m_fault == Fault::answersLost)
             m_unanswered.push_back (respond);
         else
-            respond (answer);
+            respond (appended);
     }
     else if (request.m_target.starts_with ("/-/log-newest"))
         respond (list (topic, queryValue (request.m_target, "after")));
@@ -154,7 +165,7 @@
 {
     const auto& entry = m_topics[topic];
 
-    if (from < entry.m_first)
+    if (from < entry.m_first || from > entry.m_first + entry.m_records.size())
         return respond (makeStatus (410, fmt::format (R"({{"firstOffset":{}}})", entry.m_first)));
 
     if (from < entry.m_first + entry.m_records.size())
--- a/tests/support/StoreStandin.h
+++ b/tests/support/StoreStandin.h
@@ -43,6 +43,21 @@
     /** Appends as an operator would, past all faults. */
     void put (const std::string& topic, const std::string& key, const std::string& value);
 
+    /** @returns all that it holds */
+    auto copy() const { return m_topics; }
+
+    /** Comes back with what a copy holds: reads that wait are cut, offsets are given out again, and the era
+     * rises. */
+    template <class Copy> void restore (const Copy& copy)
+    {
+        m_topics = copy;
+        ++m_era;
+        wakeReaders();
+    }
+
+    /** Answers tell this as their era; empty: the true one. */
+    void spoilEra (std::string text) { m_spoiledEra = std::move (text); }
+
     /** Forgets the records of a topic but the newest of each key; reads of older ones get 410. */
     void compact (const std::string& topic);
 
@@ -67,7 +82,8 @@
         HttpServer::Respond m_respond;
     };
 
-    std::function<void()> onRequest (const HttpRequest& request, const HttpServer::Respond& respond);
+    HttpServer::Respond withEra (const HttpServer::Respond& respond) const;
+    std::function<void()> onRequest (const HttpRequest& request, const HttpServer::Respond& answer);
     HttpResponse append (const HttpRequest& request, const std::string& topic);
     HttpResponse list (const std::string& topic, const std::string& after) const;
     void read (const std::string& topic, std::size_t from, const HttpServer::Respond& respond);
@@ -81,6 +97,8 @@
     std::vector<Waiting> m_waiting;
     std::vector<HttpServer::Respond> m_unanswered;
     std::size_t m_appends = 0;
+    std::uint64_t m_era = 1;
+    std::string m_spoiledEra;
 };
 
 } // namespace plankledge::test
