A suspended machine: idle connections to the target grow old by the boot-time clock

A connection to the target that had been idle for longer than the target keeps it counted as fresh after the machine had been suspended, since its age was kept by the steady clock, which stands still meanwhile: its next request was lost on it (502, unknown). The clock is a hook of TargetClient and Node now, so that tests move it apart from the steady one; runtime_suspended_machine: after 8 s of suspension a new connection is opened, and a node acts on what fell due within 150 ms.

--- a/modules/plankledge_core/Time.h
+++ b/modules/plankledge_core/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 
 namespace plankledge
 {
@@ -30,6 +31,9 @@
 
 using Time = BootClock::time_point;
 
+/** Tells the time; tests move it apart from the clock by which timers run, as a suspended machine does. */
+using TimeSource = std::function<Time()>;
+
 /** Rounds to whole milliseconds for headers and logs. */
 constexpr long long toMilliseconds (Duration duration) noexcept
 {
--- a/modules/plankledge_runtime/Node.cpp
+++ b/modules/plankledge_runtime/Node.cpp
@@ -33,10 +33,12 @@
 };
 
 //==============================================================================
-Node::Node (boost::asio::io_context& context, std::unique_ptr<Reducer> reducer, Logger& logger)
+Node::Node (boost::asio::io_context& context, std::unique_ptr<Reducer> reducer, Logger& logger,
+            TimeSource time)
     : m_context (context)
     , m_reducer (std::move (reducer))
     , m_logger (logger)
+    , m_time (std::move (time))
     , m_timers (std::make_unique<Timers> (context))
 {
 }
@@ -51,7 +53,7 @@
 
 void Node::start()
 {
-    const auto now = BootClock::now();
+    const auto now = m_time();
     const auto effects = m_reducer->start (now);
 
     if (m_trace != nullptr)
@@ -84,7 +86,7 @@
 
 void Node::applyOne (EventBody body)
 {
-    const Event event { BootClock::now(), std::move (body) };
+    const Event event { m_time(), std::move (body) };
     const auto effects = m_reducer->apply (event);
 
     if (m_trace != nullptr)
@@ -136,7 +138,7 @@
 
 void Node::armTimer()
 {
-    const auto now = BootClock::now();
+    const auto now = m_time();
     const auto due = std::min (m_reducer->nextWakeUp().value_or (now + longestSleep), now + longestSleep);
 
     // An earlier wake-up that is armed already serves as well.
--- a/modules/plankledge_runtime/Node.h
+++ b/modules/plankledge_runtime/Node.h
@@ -51,7 +51,11 @@
 {
 public:
     //==============================================================================
-    Node (boost::asio::io_context& context, std::unique_ptr<Reducer> reducer, Logger& logger);
+    /** @param time   stamped on each event; timers run by the steady clock, so a wake-up that is due while
+       the machine is suspended comes up to 100 ms after it
+    */
+    Node (boost::asio::io_context& context, std::unique_ptr<Reducer> reducer, Logger& logger,
+          TimeSource time = BootClock::now);
     ~Node();
 
     Node (const Node&) = delete;
@@ -94,6 +98,7 @@
     boost::asio::io_context& m_context;
     std::unique_ptr<Reducer> m_reducer;
     Logger& m_logger;
+    const TimeSource m_time;
     std::vector<EffectHandler> m_edges;
     std::vector<std::function<void()>> m_onExit;
     std::unique_ptr<TraceWriter> m_trace;
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -38,13 +38,12 @@
 constexpr unsigned mostStrayAnswers = 3;
 
 using Stream = std::shared_ptr<beast::tcp_stream>;
-using Clock = std::chrono::steady_clock;
 
 /** A connection without a call. */
 struct IdleConnection
 {
     Stream m_stream;
-    Clock::time_point m_until;
+    Time m_until; /**< counts the time in which the machine is suspended: the target's does, too */
 };
 
 /** @returns how long the target keeps an idle connection, by its Keep-Alive header */
@@ -73,10 +72,11 @@
 //==============================================================================
 struct TargetClient::Implementation : std::enable_shared_from_this<TargetClient::Implementation>
 {
-    Implementation (asio::io_context& context, Done done, Matcher isAnswerTo)
+    Implementation (asio::io_context& context, Done done, Matcher isAnswerTo, TimeSource time)
         : m_context (context)
         , m_done (std::move (done))
         , m_isAnswerTo (std::move (isAnswerTo))
+        , m_time (std::move (time))
     {
     }
 
@@ -181,7 +181,7 @@
     /** Keeps a connection for the next call, and drops it as soon as the target says anything on it. */
     void keepIdle (const Stream& stream, std::chrono::milliseconds time)
     {
-        m_idle.push_back ({ stream, Clock::now() + time });
+        m_idle.push_back ({ stream, m_time() + time });
         stream->socket().async_wait (tcp::socket::wait_read, [weak = weak_from_this(), stream] (
                                                                  const boost::system::error_code& error) {
             const auto self = weak.lock();
@@ -202,7 +202,7 @@
             boost::system::error_code error;
             stream->socket().cancel (error);
 
-            if (until <= Clock::now())
+            if (until <= m_time())
                 continue;
 
             // Anything to read on an idle connection is its end or an answer nobody asked for.
@@ -244,14 +244,16 @@
     Endpoint m_target;
     Done m_done;
     Matcher m_isAnswerTo;
+    TimeSource m_time;
     std::map<CallId, Stream> m_active;
     std::list<IdleConnection> m_idle;
     std::uint64_t m_connectionsOpened = 0;
 };
 
 //==============================================================================
-TargetClient::TargetClient (asio::io_context& context, Done done, Matcher isAnswerTo)
-    : m_implementation (std::make_shared<Implementation> (context, std::move (done), std::move (isAnswerTo)))
+TargetClient::TargetClient (asio::io_context& context, Done done, Matcher isAnswerTo, TimeSource time)
+    : m_implementation (std::make_shared<Implementation> (context, std::move (done), std::move (isAnswerTo),
+                                                          std::move (time)))
 {
 }
 
--- a/modules/plankledge_runtime/TargetClient.h
+++ b/modules/plankledge_runtime/TargetClient.h
@@ -40,8 +40,10 @@
 
     /** @param isAnswerTo   empty: every answer counts as the one to the request before it, and bytes behind
                             it spoil it, since nothing else tells whose they are
+        @param time         by which idle connections grow old
     */
-    TargetClient (boost::asio::io_context& context, Done done, Matcher isAnswerTo = {});
+    TargetClient (boost::asio::io_context& context, Done done, Matcher isAnswerTo = {},
+                  TimeSource time = BootClock::now);
     ~TargetClient();
 
     /** @param target   where to send; idle connections to any other address are dropped */
--- a/tests/relay/crashes/RepeatedCrashes_test.cpp
+++ b/tests/relay/crashes/RepeatedCrashes_test.cpp
@@ -132,6 +132,33 @@
     }
 }
 
+TEST_CASE ("all nodes know of it in time, however many there are")
+{
+    for (const unsigned nodes : { 15U, 68U, 194U })
+    {
+        CAPTURE (nodes);
+        CrashSite site (nodes / 3, nodes - nodes / 3);
+        const auto isKnownTo = [&] (const InstanceName& name) {
+            return site.reducer (name).relay().crashes().ledger().held() > 0;
+        };
+        const auto before = site.crashNews();
+
+        while (site.crashes().size() < 3)
+            site.runUnderLoad (Milliseconds (100), 10 * nodes, [&] { site.sendAnywhere (deadlyPath); });
+
+        const auto third = site.crashes()[2];
+
+        while (! std::all_of (site.nodes().begin(), site.nodes().end(), isKnownTo) &&
+               site.now() < third + seconds (10))
+            site.runUnderLoad (Milliseconds (20), 10 * nodes);
+
+        CHECK (site.now() - third <= contactTime);
+        MESSAGE (nodes, " nodes: known to all after ", toMilliseconds (site.now() - third), " ms, ",
+                 (site.crashNews() - before) / nodes, " messages a node for ", site.crashes().size(),
+                 " crashes");
+    }
+}
+
 TEST_CASE (
     "after the hold one target at a time tries it: it ends once more, or the request is cleared everywhere")
 {
--- /dev/null
+++ b/tests/runtime/SuspendedMachine_test.cpp
@@ -0,0 +1,124 @@
+#include "plankledge_runtime/HttpServer.h"
+#include "plankledge_runtime/Node.h"
+#include "plankledge_runtime/TargetClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+
+/*  While a machine is suspended the steady clock, by which timers run, stands still; the boot-time clock,
+   which decisions are stamped with, goes on. A connection to the target that was idle for longer than the
+   target keeps it was taken for a fresh one, since its age was kept by the steady clock. */
+namespace plankledge::test
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+constexpr Duration suspension = seconds (8);
+
+/** A boot-time clock that can be moved ahead of the steady one. */
+struct MovedClock
+{
+    Duration m_ahead {};
+
+    TimeSource source()
+    {
+        return [this] { return BootClock::now() + m_ahead; };
+    }
+};
+
+std::uint16_t freePort()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor (context, { boost::asio::ip::make_address ("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+/** A target that answers all. */
+struct AnsweringTarget
+{
+    boost::asio::io_context m_context;
+    HttpServer m_server { m_context,
+                          { [] (const HttpRequest&, const HttpServer::Respond& respond) {
+                               respond ({});
+                               return std::function<void()>();
+                           },
+                            [] (HttpServerError) { return HttpResponse(); } } };
+    Endpoint m_endpoint { "127.0.0.1", freePort() };
+    unsigned m_answers = 0;
+
+    AnsweringTarget() { REQUIRE (m_server.listen (m_endpoint).ok()); }
+
+    void callOnce (TargetClient& client)
+    {
+        const auto before = m_answers;
+        client.send (before + 1, m_endpoint, {});
+
+        while (m_answers == before)
+            m_context.run_one_for (std::chrono::milliseconds (50));
+    }
+};
+
+} // namespace
+
+//==============================================================================
+TEST_CASE ("a connection that was idle while the machine was suspended is not used again")
+{
+    AnsweringTarget target;
+    MovedClock clock;
+    TargetClient client (
+        target.m_context, [&] (CallId, const TargetClient::Answer&) { ++target.m_answers; }, {},
+        clock.source());
+    target.callOnce (client);
+    target.callOnce (client);
+    CHECK (client.connectionsOpened() == 1);
+    clock.m_ahead = suspension;
+    target.callOnce (client);
+    CHECK (client.connectionsOpened() == 2);
+}
+
+TEST_CASE (
+    "a node notices within a tenth of a second that its machine was suspended, and acts on what fell due")
+{
+    boost::asio::io_context context;
+    MovedClock clock;
+    Logger logger ("node-1", Severity::error);
+    NodeSettings settings;
+    settings.m_self = { { "node-1", 7 }, "plans", "a", { "127.0.0.1", 1 }, MemberState::serving, 0 };
+    Node node (context,
+               std::make_unique<Reducer> (
+                   settings, RelaySettings(),
+                   [] (const std::string&) -> absl::StatusOr<RouteTable> {
+                       const Route route { "read", true, 0, seconds (5), seconds (1), 3, { { "none", 1 } } };
+                       return RouteTable (1, { { "host", { { "/", route } } } });
+                   }),
+               logger, clock.source());
+    std::optional<AnswerRelay> answer;
+    node.addEdge ([&] (const Effect& effect) {
+        if (const auto* found = std::get_if<AnswerRelay> (&effect))
+            answer = *found;
+
+        return true;
+    });
+    node.start();
+    node.submit (RoutesRead { "any" });
+    RelayRequestReceived request;
+    request.m_ticket = 1;
+    request.m_host = "host";
+    request.m_content = { "id", "GET", "/x", {}, {} };
+    request.m_timeout = seconds (5);
+    node.submit (request);
+    context.run_for (std::chrono::milliseconds (30));
+    REQUIRE_FALSE (answer.has_value());
+
+    clock.m_ahead = suspension;
+    context.run_for (std::chrono::milliseconds (150));
+    CHECK (node.reducer().counters().m_wakes == 1);
+    REQUIRE (answer.has_value());
+    CHECK (answer->m_result.m_outcome == Outcome::notRun);
+}
+
+} // namespace plankledge::test
--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -269,6 +269,7 @@
 {
     const auto& to = effect.m_instance;
     const auto found = m_hosts.find (to);
+    m_crashNews += std::holds_alternative<CrashNews> (effect.m_message) ? 1 : 0;
     m_hellos += std::holds_alternative<PeerHello> (effect.m_message) ? 1 : 0;
 
     if (isCut (from, to))
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -125,6 +125,7 @@
     std::vector<Run> runsOf (const std::string& id) const;
     const Reducer& reducer (const InstanceName& instance) const { return *m_hosts.at (instance).m_reducer; }
     std::uint64_t hellos() const noexcept { return m_hellos; } /**< sent by all nodes so far */
+    std::uint64_t crashNews() const noexcept { return m_crashNews; } /**< the same of news of crashes */
     bool hasExited (const InstanceName& instance) const { return m_hosts.at (instance).m_hasExited; }
     Time now() const noexcept { return m_now; }
 
@@ -203,6 +204,7 @@
     std::map<Ticket, Answer> m_answers;
     std::vector<Run> m_runs;
     std::uint64_t m_hellos = 0;
+    std::uint64_t m_crashNews = 0;
     StoreHook m_store;
     RelaySettings m_settings;
 };
