--- a/modules/plankledge_policy/relay/crashes/CrashGuard.h
+++ b/modules/plankledge_policy/relay/crashes/CrashGuard.h
@@ -40,8 +40,8 @@
 
     CrashJudgement judge (ContentDigest content, Time now) const { return m_ledger.judge (content, now); }
 
-    /** @returns the one node whose target may try a request that is on trial, whether its gate is open or not;
-        nullptr: none is there */
+    /** @returns the one node whose target may try a request that is on trial, whether its gate is open or
+       not; nullptr: none is there */
     const Peer* trialNode (const ServiceName& service, ContentDigest content) const;
 
     //==============================================================================
