--- a/tests/contracts/Programs_test.cpp
+++ b/tests/contracts/Programs_test.cpp
@@ -27,10 +27,10 @@
     std::string m_errors;
 };
 
-Exit runNode (std::vector<std::string> arguments, const std::string& errorFile)
+Exit runProgram (const std::string& name, std::vector<std::string> arguments, const std::string& errorFile)
 {
     const char* folder = std::getenv ("PLANKLEDGE_PROGRAMS");
-    auto path = fmt::format ("{}/plankledge-node", folder != nullptr ? folder : "build");
+    auto path = fmt::format ("{}/{}", folder != nullptr ? folder : "build", name);
     std::vector<char*> argv { path.data() };
 
     for (auto& argument : arguments)
@@ -50,6 +50,11 @@
              std::string (std::istreambuf_iterator<char> (file), {}) };
 }
 
+Exit runNode (std::vector<std::string> arguments, const std::string& errorFile)
+{
+    return runProgram ("plankledge-node", std::move (arguments), errorFile);
+}
+
 struct Row
 {
     std::vector<std::string> m_changes; /**< flags after the good ones */
@@ -78,9 +83,47 @@
       { "--caller_port has no port", "--zone must be set", "--log_period_ms is out of range" } },
 };
 
+const std::vector<std::string> goodOfSidecar { "--check_settings",       "--instance=n1",
+                                               "--service=plans",        "--zone=a",
+                                               "--ip=127.0.0.1",         "--peers=127.0.0.1:7001",
+                                               "--outbound=127.0.0.1:1", "--ready=127.0.0.1:2",
+                                               "--control=127.0.0.1:3",  "--store=127.0.0.1:4" };
+
+const Row rowsOfSidecar[] = {
+    { {}, 0, {} },
+    { { "--retry_slack=20.408163265306122", "--limit_slack=7.5" }, 0, {} },
+    { { "--retry_slack=-1" }, 2, { "--retry_slack is out of range" } },
+    { { "--retry_slack=1e300" }, 2, { "--retry_slack is out of range" } },
+    { { "--retry_slack=nan" }, 2, { "--retry_slack is out of range" } },
+    { { "--limit_slack=-0.5" }, 2, { "--limit_slack is out of range" } },
+    { { "--instance=", "--retry_ratio=-1" },
+      2,
+      { "--instance must be set", "--retry_ratio is out of range" } },
+};
+
 } // namespace
 
 //==============================================================================
+/*  The figures of an installation may be fractions. A smaller one's slack of 20.4 retries was taken for a
+ * whole number's flag, and no node started. */
+TEST_CASE ("settings on the users' platform are checked at start, and figures may be fractions")
+{
+    Cluster cluster;
+    const auto errors = cluster.writeFile ("errors", "");
+
+    for (const auto& row : rowsOfSidecar)
+    {
+        auto arguments = goodOfSidecar;
+        arguments.insert (arguments.end(), row.m_changes.begin(), row.m_changes.end());
+        CAPTURE (row.m_changes.empty() ? std::string() : row.m_changes.front());
+        const auto exit = runProgram ("plankledge-sidecar", arguments, errors);
+        CHECK (exit.m_code == row.m_code);
+
+        for (const auto& said : row.m_said)
+            CHECK (exit.m_errors.find (said) != std::string::npos);
+    }
+}
+
 TEST_CASE ("settings are checked at start, all faults at once")
 {
     Cluster cluster;
