Whoever answers after connections were refused is another life of the target

A request that crashes its targets was still sent to them where a target that comes back serves before it announces itself (its first announcement may be late): its first whole answers were taken for a sign that the one before lived, and the crash was withdrawn. In virtual time, announcements 1 s after the start: more than the 3 sendings that are allowed later than 3 s after the third crash (the new test fails on the code before).

Change: after a refused connection a break-off is a crash for good. Ruled out: waiting longer before an answer counts (the first announcement may be seconds late). The row 'connections are refused for a moment, and then it answers' of relay_crash_watch asked for the withdrawal; it was wrong, for a target whose connections are refused does not run, and is replaced by one that asks for the crash. What a connection that only timed out costs: the requests that broke off in that life stay suspects, once.

--- a/modules/plankledge_policy/relay/crashes/CrashWatch.cpp
+++ b/modules/plankledge_policy/relay/crashes/CrashWatch.cpp
@@ -47,19 +47,26 @@
 {
     m_endedWell[content % mostEndedWell] = content;
 
-    if (m_break.has_value() && now - m_break->m_at >= underWay)
+    if (mayBeRefuted() && now - m_break->m_at >= underWay)
         refute();
 }
 
+/** Where connections were refused nobody listened any more: whoever answers after that is another life, and
+   may announce itself seconds later. */
+bool CrashWatch::mayBeRefuted() const noexcept
+{
+    return m_break.has_value() && ! m_break->m_isCertain;
+}
+
 void CrashWatch::onRefusedConnection() noexcept
 {
     if (m_break.has_value())
-        m_break->m_isLikely = true;
+        m_break->m_isCertain = true;
 }
 
 void CrashWatch::onAnnounced (Time now)
 {
-    if (m_break.has_value() && now - m_break->m_at >= announcedLate)
+    if (mayBeRefuted() && now - m_break->m_at >= announcedLate)
         refute();
 }
 
@@ -96,7 +103,7 @@
 
 std::vector<CrashWatch::Finding> CrashWatch::takeFindings (Time now)
 {
-    if (m_break.has_value() && (m_break->m_isLikely || now - m_break->m_at >= settling))
+    if (m_break.has_value() && (m_break->m_isCertain || now - m_break->m_at >= settling))
         conclude();
 
     return std::exchange (m_findings, {});
--- a/modules/plankledge_policy/relay/crashes/CrashWatch.h
+++ b/modules/plankledge_policy/relay/crashes/CrashWatch.h
@@ -16,7 +16,7 @@
 
     A connection that breaks off is no crash by itself: answers are lost, and connections are
     reset. It is one unless the target shows within a while that it lives, by another whole answer
-    or by announcing itself; a refused connection or another life of the target tells sooner. A target that
+    or by announcing itself; a refused connection or another life of the target settles it. A target that
    has said that it leaves may end at any time, and what runs there then is not to blame.
 
     Not to blame is a request of which the same life of the target ran one to its end before: what crashes
@@ -85,7 +85,7 @@
         std::uint64_t m_number = 0;
         Time m_at;
         std::vector<ContentDigest> m_suspects;
-        bool m_isLikely = false; /**< connections are refused */
+        bool m_isCertain = false; /**< connections are refused */
         bool m_isTold = false;
         bool m_hasMore = true; /**< than was told */
     };
@@ -93,6 +93,7 @@
     void refute();
     void conclude();
     bool hasEndedWell (ContentDigest content) const noexcept;
+    bool mayBeRefuted() const noexcept;
 
     std::optional<Break> m_break; /**< of the present life */
     std::vector<Finding> m_findings;
--- a/tests/relay/crashes/CrashWatch_test.cpp
+++ b/tests/relay/crashes/CrashWatch_test.cpp
@@ -99,7 +99,7 @@
           it.pass (window);
       },
       { first } },
-    { "connections are refused for a moment, and then it answers",
+    { "another life answers before it announces itself",
       [] (Watched& it) {
           it.breakOff (first);
           it.m_watch.onRefusedConnection();
@@ -107,8 +107,7 @@
           it.answer (second);
           it.pass (window);
       },
-      {},
-      true },
+      { first } },
     { "another life begins at once",
       [] (Watched& it) {
           it.breakOff (first);
--- a/tests/relay/crashes/RepeatedCrashes_test.cpp
+++ b/tests/relay/crashes/RepeatedCrashes_test.cpp
@@ -64,6 +64,17 @@
     MESSAGE (site.crashes().size(), " targets ended, served meanwhile: ", site.servedShare (during));
 }
 
+TEST_CASE ("targets that serve before they announce their new life don't hide the crash of the one before")
+{
+    ReportedSite site;
+    site.announceLate (seconds (1));
+    site.runUnderLoad (seconds (20), 200, [&] { site.sendAnywhere (deadlyPath); });
+    const auto known = site.crashes().at (2) + contactTime;
+    const auto runs = site.runsOfPath (deadlyPath);
+    CHECK (std::count_if (runs.begin(), runs.end(), [known] (Time at) { return at > known; }) <=
+           static_cast<std::ptrdiff_t> (mostSendingsAfter));
+}
+
 //==============================================================================
 TEST_CASE ("what is held is refused as not run, with the time until it is tried again")
 {
--- a/tests/support/CrashSite.cpp
+++ b/tests/support/CrashSite.cpp
@@ -68,6 +68,7 @@
 
     m_crashes.push_back (now());
     target.m_isUp = false;
+    target.m_isAnnounced = false;
     target.m_backAt = now() + downTime;
     silence (instance);
 
@@ -141,10 +142,12 @@
 
     for (auto& [instance, target] : m_state)
     {
-        if (target.m_isUp || now() < target.m_backAt)
+        target.m_isUp = target.m_isUp || now() >= target.m_backAt;
+
+        if (target.m_isAnnounced || now() < target.m_backAt + m_announcedLate)
             continue;
 
-        target.m_isUp = true;
+        target.m_isAnnounced = true;
         replaceTarget (instance);
         announce (instance);
     }
--- a/tests/support/CrashSite.h
+++ b/tests/support/CrashSite.h
@@ -34,6 +34,9 @@
     /** From now on targets break off one of so many requests, and live. */
     void loseAnswers (unsigned oneOf) { m_lostOneOf = oneOf; }
 
+    /** From now on targets that start announce themselves so much later. */
+    void announceLate (Duration late) { m_announcedLate = late; }
+
     /** From now on deadly requests are as others. */
     void mend() { m_isDeadly = false; }
 
@@ -74,6 +77,7 @@
         bool m_isUp = true;
         std::set<CallId> m_running;
         Time m_backAt;
+        bool m_isAnnounced = true;
     };
 
     void repeatFailed();
@@ -88,6 +92,7 @@
     std::vector<Time> m_crashes;
     Random m_random { 7 };
     std::uint64_t m_sent = 0;
+    Duration m_announcedLate {};
     unsigned m_lostOneOf = 0;
     bool m_isDeadly = true;
     bool m_repeats = false;
