--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -34,6 +34,22 @@
 /** Identifies one incarnation of a target. */
 using TargetId = std::string;
 
+/** What a target states about itself in an answer; it holds until the next answer. */
+struct TargetCondition
+{
+    std::optional<double> m_rateLimit {}; /**< requests per second that it accepts from all nodes together;
+                                             nullopt: unlimited */
+    bool m_isRateLimitMalformed = false;  /**< a limit was stated that can't be read */
+    bool m_isLeaving = false;             /**< it accepts no further work */
+
+    auto operator<=> (const TargetCondition&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_rateLimit, m_isRateLimitMalformed, m_isLeaving);
+    }
+};
+
 //==============================================================================
 /** Content of a request, passed on unchanged from its sender to the target. */
 struct RelayContent
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -284,6 +284,7 @@
     crashWithdrawn,
     contentHeld,
     storeRestored,
+    targetConditionChanged,
     decisionCount
 };
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -303,10 +303,14 @@
     CallId m_call = 0;
     TargetReplyKind m_kind = TargetReplyKind::broken;
     RelayedAnswer m_answer;
+    std::optional<TargetCondition> m_condition {}; /**< nullopt: no answer was received */
 
     auto operator<=> (const TargetReply&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_call, m_kind, m_answer); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_call, m_kind, m_answer, m_condition);
+    }
 };
 
 enum class AnnouncedState : std::uint8_t
--- a/modules/plankledge_policy/relay/gate/GateLog.cpp
+++ b/modules/plankledge_policy/relay/gate/GateLog.cpp
@@ -62,6 +62,21 @@
                { "state", target.isLeaving() ? "leaving" : "serving" } } };
 }
 
+LogDecision logCondition (const TargetId& target, const TargetCondition& before, const TargetCondition& now)
+{
+    const auto limitOf = [] (const TargetCondition& condition) {
+        return condition.m_rateLimit.has_value()
+                   ? fmt::format ("{:.6g}", *condition.m_rateLimit)
+                   : std::string (condition.m_isRateLimitMalformed ? "malformed" : "none");
+    };
+    return { Decision::targetConditionChanged,
+             {},
+             { { "target", target },
+               { "rate_limit", limitOf (now) },
+               { "before", limitOf (before) },
+               { "leaving", yesOrNo (now.m_isLeaving) } } };
+}
+
 LogDecision logAdmission (const AdmissionChange& change)
 {
     return { Decision::admissionMoved,
--- a/modules/plankledge_policy/relay/gate/GateLog.h
+++ b/modules/plankledge_policy/relay/gate/GateLog.h
@@ -46,6 +46,7 @@
 /** The gate ended the request without an answer from the target. */
 LogDecision logEnded (const GateCall& call, Reason reason, Time now);
 LogDecision logAnnounced (const LocalTarget& target);
+LogDecision logCondition (const TargetId& target, const TargetCondition& before, const TargetCondition& now);
 LogDecision logAdmission (const AdmissionChange& change);
 
 } // namespace plankledge::detail
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -218,6 +218,10 @@
         return;
 
     const auto call = removeCall (turn, reply.m_call);
+
+    if (reply.m_condition.has_value())
+        updateCondition (turn, *reply.m_condition);
+
     const bool isAnswered = reply.m_kind == TargetReplyKind::answered;
     const bool isFailure = ! isAnswered || reply.m_answer.m_status >= serverError;
     RelayResult result;
@@ -259,6 +263,15 @@
         m_serviceTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now);
 }
 
+void TargetGate::updateCondition (Turn& turn, const TargetCondition& condition)
+{
+    turn.counters().m_malformedRateLimits += condition.m_isRateLimitMalformed ? 1 : 0;
+    const auto before = std::exchange (m_condition, condition);
+
+    if (m_condition != before)
+        turn.emit (detail::logCondition (m_target.id(), before, m_condition));
+}
+
 void TargetGate::updateCrashGuard (Turn& turn, const Call& call, TargetReplyKind kind)
 {
     switch (kind)
@@ -349,6 +362,7 @@
     m_slotTimes.clear();
     m_failureRate = 0.0;
     m_level = AdmissionLevel();
+    m_condition = {};
     m_closedUntil = Time();
     turn.emit (DropTargetConnections {});
     m_hooks.m_onStatusChanged (turn);
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -93,6 +93,10 @@
     std::vector<RouteTime> routeTimes() const { return m_serviceTimes.all(); }
     std::vector<CallEdge> callEdges() const { return m_graph.ownEdges(); }
     const LocalTarget& target() const noexcept { return m_target; }
+
+    /** @returns what the target stated in its latest answer */
+    const TargetCondition& condition() const noexcept { return m_condition; }
+
     bool isIdle() const noexcept { return m_calls.empty(); }
     std::size_t running() const noexcept { return m_running; }
     std::size_t queued() const noexcept { return m_queue.size(); }
@@ -119,6 +123,7 @@
     void answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result);
     Call removeCall (Turn& turn, CallId id);
     void addSample (const Call& call, Time now, bool isFailure);
+    void updateCondition (Turn& turn, const TargetCondition& condition);
     void updateCrashGuard (Turn& turn, const Call& call, TargetReplyKind kind);
     void updateCrashGuard (const LocalTarget::Change& change, bool wasLeaving, Time now);
     bool isWithheld (const Call& call, Time now) const;
@@ -127,6 +132,7 @@
 
     Hooks m_hooks;
     LocalTarget m_target;
+    TargetCondition m_condition;
     AdmissionLevel m_level;
     int m_publishedLevel = 1000; /**< thousandths; as last passed to m_onStatusChanged */
     CallGraph m_graph;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -78,6 +78,7 @@
     appendCounter (text, "redirects_total", counters.m_redirects);
     appendCounter (text, "crash_reports_total", counters.m_crashReports);
     appendCounter (text, "crashes_withdrawn_total", counters.m_crashesWithdrawn);
+    appendCounter (text, "malformed_rate_limits_total", counters.m_malformedRateLimits);
     appendCounter (text, "store_restores_total", counters.m_storeRestores);
     appendCounter (text, "acquittals_total", counters.m_acquittals);
     appendCounter (text, "late_answers_total", counters.m_lateAnswers);
@@ -215,6 +216,10 @@
                      static_cast<double> (time.m_time.count()) / 1000.0);
 
     appendGauge (text, "target_failure_permille", gate.m_failurePermille);
+
+    if (const auto& condition = relay.gate().condition(); condition.m_rateLimit.has_value())
+        appendGauge (text, "target_rate_limit", *condition.m_rateLimit);
+
     appendGauge (text, "crashes_remembered", static_cast<double> (relay.crashes().crashHistory().crashes()));
     appendGauge (text, "contents_held", static_cast<double> (relay.crashes().crashHistory().held()));
 
--- a/modules/plankledge_runtime/NoticeLog.cpp
+++ b/modules/plankledge_runtime/NoticeLog.cpp
@@ -66,7 +66,8 @@
         "request-cancelled", "gate-dispatched",    "gate-refused",     "gate-ended",      "target-announced",
         "peer-found",        "peer-lost",          "peer-regained",    "routes-in-force", "routes-invalid",
         "admission-moved",   "store-following",    "member-published", "keys-opened",     "keys-closed",
-        "limit-homes",       "crash-reported",     "crash-withdrawn",  "content-held",    "store-restored"
+        "limit-homes",       "crash-reported",     "crash-withdrawn",  "content-held",    "store-restored",
+        "target-condition-changed"
     };
     static_assert (! names.back().empty(), "every decision has a name");
     return names.at (static_cast<std::size_t> (decision));
--- a/tests/platform/HttpCodec_test.cpp
+++ b/tests/platform/HttpCodec_test.cpp
@@ -132,6 +132,55 @@
     }
 }
 
+namespace
+{
+
+struct ConditionRow
+{
+    const char* m_name;
+    HttpHeaders m_headers;
+    TargetCondition m_condition;
+};
+
+const TargetCondition malformedLimit { std::nullopt, true, false };
+
+const ConditionRow conditionRows[] = {
+    { "nothing stated", {}, {} },
+    { "fraction", { { "Server-Limit", "17.1" } }, { 17.1, false, false } },
+    { "below one a second", { { "server-limit", " 0.2 " } }, { 0.2, false, false } },
+    { "zero", { { "Server-Limit", "0" } }, { 0.0, false, false } },
+    { "exponent", { { "Server-Limit", "2e-05" } }, { 2e-05, false, false } },
+    { "twice the same", { { "Server-Limit", "3" }, { "Server-Limit", "3.0" } }, { 3.0, false, false } },
+    { "empty", { { "Server-Limit", "" } }, malformedLimit },
+    { "negative", { { "Server-Limit", "-1" } }, malformedLimit },
+    { "not a number", { { "Server-Limit", "nan" } }, malformedLimit },
+    { "infinite", { { "Server-Limit", "inf" } }, malformedLimit },
+    { "out of range", { { "Server-Limit", "1e400" } }, malformedLimit },
+    { "text behind the number", { { "Server-Limit", "5/s" } }, malformedLimit },
+    { "hexadecimal", { { "Server-Limit", "0x10" } }, malformedLimit },
+    { "too long", { { "Server-Limit", std::string (33, '1') } }, malformedLimit },
+    { "two values", { { "Server-Limit", "3" }, { "Server-Limit", "4" } }, malformedLimit },
+    { "a value and a malformed one", { { "Server-Limit", "x" }, { "Server-Limit", "4" } }, malformedLimit },
+    { "leaving", { { "Server-Leaving", "1" } }, { std::nullopt, false, true } },
+    { "not leaving", { { "Server-Leaving", "0" } }, {} },
+};
+
+} // namespace
+
+TEST_CASE ("a target's rate limit and that it is leaving are read from any response and passed on with it")
+{
+    for (const auto& row : conditionRows)
+        for (const std::uint16_t status : { 200, 500, 503 })
+        {
+            CAPTURE (row.m_name);
+            CAPTURE (status);
+            const auto reply = decodeTargetResponse (targetResponse (status, row.m_headers));
+            REQUIRE (reply.m_condition.has_value());
+            CHECK (*reply.m_condition == row.m_condition);
+            CHECK (reply.m_answer.m_headers == row.m_headers);
+        }
+}
+
 TEST_CASE ("a target's response is returned unchanged; a node's own error contains nothing from a target")
 {
     RelayResult result { Outcome::completed, Reason::none, { 201, { { "Server-Stamp", "s" } }, "body" }, {} };
