--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -196,8 +196,12 @@
 void RelayRig::reply (const InstanceName& instance, CallId call, TargetReplyKind kind, Duration after,
                       std::uint16_t status)
 {
-    deliver (instance, TargetReply { call, kind, { status, {}, "answer" } }, after,
-             m_hosts.at (instance).m_processIncarnation);
+    replyWith (instance, { call, kind, { status, {}, "answer" } }, after);
+}
+
+void RelayRig::replyWith (const InstanceName& instance, TargetReply reply, Duration after)
+{
+    deliver (instance, std::move (reply), after, m_hosts.at (instance).m_processIncarnation);
 }
 
 std::vector<RelayRig::Run> RelayRig::runsOf (const std::string& id) const
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -128,6 +128,9 @@
     void reply (const InstanceName& instance, CallId call, TargetReplyKind kind, Duration after,
                 std::uint16_t status = 200);
 
+    /** Sends a complete reply of a target after a delay. */
+    void replyWith (const InstanceName& instance, TargetReply reply, Duration after);
+
     const std::map<Ticket, Answer>& answers() const noexcept { return m_answers; }
     const std::vector<Run>& runs() const noexcept { return m_runs; }
     std::vector<Run> runsOf (const std::string& id) const;
