--- a/modules/plankledge_core/Outcome.cpp
+++ b/modules/plankledge_core/Outcome.cpp
@@ -50,6 +50,7 @@
     "beyond-limit",
     "limit-unknown",
     "crashes-targets",
+    "target-rate-limit",
 };
 
 static_assert (! reasonNames.back().empty(), "every reason has a name");
--- a/modules/plankledge_core/Outcome.h
+++ b/modules/plankledge_core/Outcome.h
@@ -57,10 +57,11 @@
     keyMissing,   /**< the route requires a key, and the request has none */
     keyMalformed, /**< several keys, an unsupported scheme or an invalid syntax */
     keyUnknown,
-    keyUnproven,    /**< the key can't be validated: the known configuration is too old */
-    beyondLimit,    /**< the organisation's rate limit is exceeded */
-    limitUnknown,   /**< no node that counts the organisation's requests is reachable */
-    crashesTargets, /**< targets ended while they ran an equivalent request */
+    keyUnproven,     /**< the key can't be validated: the known configuration is too old */
+    beyondLimit,     /**< the organisation's rate limit is exceeded */
+    limitUnknown,    /**< no node that counts the organisation's requests is reachable */
+    crashesTargets,  /**< targets ended while they ran an equivalent request */
+    targetRateLimit, /**< the rate limit that the target states is reached */
     reasonCount
 };
 
--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -97,6 +97,40 @@
 };
 
 //==============================================================================
+/** One incarnation of a target, which may restart under the same id. */
+struct TargetIncarnation
+{
+    TargetId m_target;
+    std::optional<Duration> m_startedAt {}; /**< by the target's clock; nullopt if not announced */
+
+    auto operator<=> (const TargetIncarnation&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_target, m_startedAt); }
+};
+
+/** What a target has stated that restricts the requests it may be sent. */
+struct TargetRestriction
+{
+    TargetIncarnation m_target;
+    std::optional<double> m_rateLimit {}; /**< see TargetCondition */
+
+    auto operator<=> (const TargetRestriction&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_target, m_rateLimit); }
+};
+
+/** The rate at which a gate dispatches to a target that states a rate limit. */
+struct GateRate
+{
+    double m_perSecond = 0.0;
+    double m_burst = 0.0;  /**< maximum of m_tokens */
+    double m_tokens = 0.0; /**< requests that may be dispatched at once, less those that are queued */
+
+    auto operator<=> (const GateRate&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_perSecond, m_burst, m_tokens); }
+};
+
 /** State and load of the gate in front of a target. */
 struct GateStatus
 {
@@ -106,12 +140,17 @@
     Duration m_queuedWork {};             /**< expected slot time of the queued requests */
     std::uint16_t m_failurePermille = 0;  /**< share of failures in the target's recent answers */
     std::uint16_t m_admittedPermille = 0; /**< admission level: lower shed ranks are admitted */
+    std::optional<GateRate> m_rate {};    /**< nullopt: not limited */
+    std::optional<TargetRestriction> m_restriction {};
+    bool m_isRestrictionKnown = false; /**< false: the target has not answered this process of the node, which
+                                          may lack a restriction */
 
     auto operator<=> (const GateStatus&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_isOpen, m_limit, m_inGate, m_queuedWork, m_failurePermille, m_admittedPermille);
+        archive (m_isOpen, m_limit, m_inGate, m_queuedWork, m_failurePermille, m_admittedPermille, m_rate,
+                 m_restriction, m_isRestrictionKnown);
     }
 };
 
@@ -164,6 +203,9 @@
     Duration
         m_maxQueueTimeOfNewChain {}; /**< the same, if no request of its chain has run at the target yet */
     Duration m_sentAt {};            /**< on the sender's steady clock; used to estimate the transit time */
+    std::optional<TargetRestriction>
+        m_restriction {}; /**< of the receiver's target, as known to the sender: the
+                             receiver may have restarted since it was stated */
 
     auto operator<=> (const RelayRequest&) const = default;
 
@@ -171,7 +213,7 @@
     {
         archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_digest,
                  m_keyValidFor, m_effectivePriority, m_isRetry, m_isNested, m_chainAge, m_timeLeft,
-                 m_maxQueueTime, m_maxQueueTimeOfNewChain, m_sentAt);
+                 m_maxQueueTime, m_maxQueueTimeOfNewChain, m_sentAt, m_restriction);
     }
 };
 
--- a/modules/plankledge_policy/TimerQueue.h
+++ b/modules/plankledge_policy/TimerQueue.h
@@ -29,6 +29,7 @@
     gateDeadline,      /**< deadline of a request in the gate */
     gateQueueTimeout,  /**< end of a request's wait in the gate */
     relayWindow,       /**< retries queued requests and detects unreachable peers */
+    gateRateLimit,     /**< the gate may dispatch the next request */
     admissionPeriod,   /**< updates the admission level of the gate */
     peerHello,
     relayStop
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -95,6 +95,8 @@
         return m_gate.onDeadline (m_turn, timer.m_subject);
     case TimerKind::gateQueueTimeout:
         return m_gate.onQueueTimeout (m_turn, timer.m_subject);
+    case TimerKind::gateRateLimit:
+        return m_gate.onRateLimitTimer (m_turn);
     case TimerKind::relayWindow:
         return onWindowEnd();
     case TimerKind::admissionPeriod:
@@ -126,7 +128,7 @@
         m_peers.onPause (now);
 
     m_gate.onWindowEnd (m_turn);
-    m_peers.onGate (m_peers.self(), m_gate.status(), now);
+    m_peers.onGate (m_peers.self(), m_gate.status (m_turn.now()), now);
     m_peers.onRouteTimes (m_peers.self(), m_gate.routeTimes());
     m_calls.setPeerEdges (m_peers.self(), m_gate.callEdges());
 
@@ -162,9 +164,9 @@
     const auto& member = peer.m_member;
     m_peers.onHelloSent (member.m_id.m_instance, m_turn.now());
     m_turn.emit (SendToPeer { member.m_id.m_instance, member.m_endpoint,
-                              PeerHello { m_turn.settings().m_self, m_routes.version(), m_gate.status(),
-                                          m_turn.now().time_since_epoch(), asksForCalls, m_store.view(),
-                                          m_crashes.digest() } });
+                              PeerHello { m_turn.settings().m_self, m_routes.version(),
+                                          m_gate.status (m_turn.now()), m_turn.now().time_since_epoch(),
+                                          asksForCalls, m_store.view(), m_crashes.digest() } });
 }
 
 void RelayDecisions::sendDueHellos()
@@ -222,14 +224,15 @@
 
 PeerStatus RelayDecisions::status() const
 {
-    return { m_routes.version(), m_gate.status(), m_gate.routeTimes(),
-             std::nullopt,       m_store.view(),  m_crashes.digest() };
+    return { m_routes.version(),  m_gate.status (m_turn.now()),
+             m_gate.routeTimes(), std::nullopt,
+             m_store.view(),      m_crashes.digest() };
 }
 
 /** Pushes the gate's status to peers, so that they stop sending at once when it closes. */
 void RelayDecisions::onGateChanged()
 {
-    m_peers.onGate (m_peers.self(), m_gate.status(), m_turn.now());
+    m_peers.onGate (m_peers.self(), m_gate.status (m_turn.now()), m_turn.now());
 
     for (const auto* peer : m_peers.others())
         if (peer->m_inboundLink != 0)
--- a/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
@@ -113,15 +113,16 @@
 double EntryAdmission::admissionLevelOf (const ServiceName& service, const PeerTable& peers) noexcept
 {
     double levels = 0.0;
-    double limits = 0.0;
+    double capacity = 0.0;
 
     for (const auto* peer : peers.acceptingRequests (service))
     {
-        levels += static_cast<double> (peer->m_gate.m_admittedPermille) / 1000.0 * peer->m_gate.m_limit;
-        limits += peer->m_gate.m_limit;
+        const auto share = peer->sustainableConcurrency();
+        levels += static_cast<double> (peer->m_gate.m_admittedPermille) / 1000.0 * share;
+        capacity += share;
     }
 
-    return limits > 0.0 ? levels / limits : 1.0;
+    return capacity > 0.0 ? levels / capacity : 1.0;
 }
 
 bool EntryAdmission::isClientRetry (const RouteName& route, Duration timeout)
--- a/modules/plankledge_policy/relay/entry/EntryRequest.h
+++ b/modules/plankledge_policy/relay/entry/EntryRequest.h
@@ -38,6 +38,8 @@
     CallId m_call = 0;                    /**< of the current attempt; 0 if there is none */
     bool m_isQueued = false;              /**< at the entry node, until a target is available */
     Reason m_lastReason = Reason::noReachableInstance;
+    Duration m_rateLimitWait {}; /**< shortest time until a target that refused it because of its rate limit
+                                    could run it; 0: none did */
 };
 
 } // namespace plankledge::detail
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -250,7 +250,7 @@
     }
 
     const TargetCriteria criteria { m_self.m_zone, request.m_route.m_name, request.m_route.m_latencyObjective,
-                                    request.m_tried };
+                                    request.m_tried, turn.now() };
     return selectTarget (m_dependencies.m_peers.acceptingRequests (request.m_service), criteria,
                          turn.random());
 }
@@ -291,6 +291,7 @@
     message.m_maxQueueTime = std::max (Duration::zero(), Duration (request.m_queueDeadline - now));
     message.m_maxQueueTimeOfNewChain = std::min (message.m_maxQueueTime, request.m_maxQueueTimeOfNewChain);
     message.m_sentAt = now.time_since_epoch();
+    message.m_restriction = m_dependencies.m_peers.restrictions().find (instance);
 
     if (isLogSampled (request.m_content.m_id))
         turn.emit (detail::logSent (request, peer, m_dependencies.m_routes.version(), now));
@@ -511,10 +512,33 @@
         result.m_reason == Reason::crashesTargets)
         return giveUp (turn, id, result.m_reason);
 
+    if (result.m_reason == Reason::targetRateLimit)
+        return onRateLimited (turn, id, result);
+
     ++turn.counters().m_redirects;
     send (turn, id);
 }
 
+/** Sends a request to another target that is expected to run it in time, or ends it at once. */
+void RelayEntry::onRateLimited (Turn& turn, CallId id, const RelayResult& result)
+{
+    auto& request = m_requests.at (id);
+    const auto wait = request.m_rateLimitWait;
+    request.m_rateLimitWait =
+        wait > Duration::zero() ? std::min (wait, result.m_retryAfter) : result.m_retryAfter;
+
+    const auto holdState = m_dependencies.m_crashes.holdStatus (request.m_digest, turn.now()).m_holdState;
+    const auto* peer = selectPeer (turn, request, holdState);
+
+    if (peer == nullptr ||
+        turn.now() + peer->expectedQueueTime (request.m_route.m_name, turn.now()) > request.m_queueDeadline)
+        return giveUp (turn, id, result.m_reason, spreadRetryAfter (turn, request.m_rateLimitWait));
+
+    ++turn.counters().m_redirects;
+    ++turn.counters().m_rateLimitRedirects;
+    sendTo (turn, id, *peer);
+}
+
 //==============================================================================
 void RelayEntry::onCallerDisconnected (Turn& turn, Ticket ticket)
 {
@@ -592,6 +616,13 @@
                               turn.random().below (static_cast<std::uint64_t> (maxDelay.count()) / 2 + 1)));
 }
 
+/** Spreads the retries of callers that are told to wait for the same tokens. */
+Duration RelayEntry::spreadRetryAfter (Turn& turn, Duration wait)
+{
+    return wait + Duration (static_cast<Duration::rep> (
+                      turn.random().below (static_cast<std::uint64_t> (wait.count()) / 2 + 1)));
+}
+
 void RelayEntry::onPause (Time now) noexcept
 {
     m_staleUntil = now + stalePeriodAfterPause;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -106,6 +106,7 @@
     void clearAttempt (Request& request);
     void cancelAttempt (Turn& turn, Request& request);
     void onAttemptFailed (Turn& turn, CallId id, const RelayResult& result);
+    void onRateLimited (Turn& turn, CallId id, const RelayResult& result);
 
     /** Ends a request without an answer of its target.
 
@@ -115,6 +116,7 @@
 
     void finish (Turn& turn, CallId id, RelayResult result);
     Duration suggestRetryAfter (Turn& turn, Duration timeLeft) const;
+    static Duration spreadRetryAfter (Turn& turn, Duration wait);
     bool isStopping() const noexcept { return m_stoppedAt.has_value(); }
 
     const Member m_self;
--- a/modules/plankledge_policy/relay/entry/TargetSelection.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.cpp
@@ -60,7 +60,7 @@
     const auto serviceTime = peer.routeTimeOf (criteria.m_route);
     const auto boundedTime = std::max (serviceTime, criteria.m_latencyObjective / fastEnoughDivisor);
     return boundedTime + serviceTime / speedPreferenceDivisor +
-           peer.expectedQueueTime (criteria.m_route) * queueTimeWeight;
+           peer.expectedQueueTime (criteria.m_route, criteria.m_now) * queueTimeWeight;
 }
 
 /** @returns a random target of the own zone that has free slots and rarely fails, or nullptr */
@@ -72,6 +72,7 @@
     for (const auto* peer : candidates)
         if (peer->m_member.m_zone == criteria.m_zone && peer->load() < peer->m_gate.m_limit &&
             peer->m_gate.m_failurePermille < maxProbeFailurePermille &&
+            peer->expectedQueueTime (criteria.m_route, criteria.m_now) == Duration::zero() &&
             ! criteria.m_tried.contains (peer->m_member.m_id.m_instance))
             eligible.push_back (peer);
 
--- a/modules/plankledge_policy/relay/entry/TargetSelection.h
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.h
@@ -17,6 +17,7 @@
     RouteName m_route;
     Duration m_latencyObjective {};
     std::set<InstanceName> m_tried; /**< instances that are excluded */
+    Time m_now {};
 };
 
 /**
--- a/modules/plankledge_policy/relay/gate/GateCall.h
+++ b/modules/plankledge_policy/relay/gate/GateCall.h
@@ -30,6 +30,7 @@
     Time m_chainStartedAt;
     Time m_deadline;
     Time m_dispatchedAt;
+    TargetIncarnation m_target {};          /**< that it was dispatched to */
     std::optional<Time> m_keyValidUntil {}; /**< latest dispatch; nullopt if unbounded */
     Time m_queueDeadline;                   /**< refused if not dispatched by then */
     Duration m_slotTime {};                 /**< expected time in a slot */
--- a/modules/plankledge_policy/relay/gate/GateLog.cpp
+++ b/modules/plankledge_policy/relay/gate/GateLog.cpp
@@ -5,17 +5,42 @@
 namespace plankledge::detail
 {
 
-LogDecision logGateRefused (const GateCall& call, Reason reason, const GateOccupancy& occupancy)
+namespace
 {
-    return { Decision::gateRefused,
-             call.m_request.m_content.m_id,
-             { { "reason", std::string (nameOf (reason)) },
-               { "running", number (occupancy.m_running) },
-               { "queued", number (occupancy.m_queued) },
-               { "limit", number (occupancy.m_limit) },
-               { "begun", yesOrNo (call.m_isChainActive) },
-               { "expected_wait_ms", milliseconds (occupancy.m_expectedQueueTime) },
-               { "time_left_ms", milliseconds (call.m_request.m_timeLeft) } } };
+
+std::string rateText (std::optional<double> perSecond)
+{
+    return perSecond.has_value() ? fmt::format ("{:.6g}", *perSecond) : "none";
+}
+
+/** Adds the rate limit to a decision that it caused. */
+LogDecision withRateLimit (LogDecision decision, Reason reason, const RateLimitAt& limit)
+{
+    if (reason != Reason::targetRateLimit)
+        return decision;
+
+    decision.m_inputs.push_back ({ "target", limit.m_target });
+    decision.m_inputs.push_back ({ "rate_limit", rateText (limit.m_rateLimit.perSecond()) });
+    decision.m_inputs.push_back ({ "rate_limit_age_ms", milliseconds (limit.m_rateLimit.age (limit.m_now)) });
+    return decision;
+}
+
+} // namespace
+
+//==============================================================================
+LogDecision logGateRefused (const GateCall& call, Reason reason, const GateOccupancy& occupancy,
+                            const RateLimitAt& limit)
+{
+    LogDecision decision { Decision::gateRefused,
+                           call.m_request.m_content.m_id,
+                           { { "reason", std::string (nameOf (reason)) },
+                             { "running", number (occupancy.m_running) },
+                             { "queued", number (occupancy.m_queued) },
+                             { "limit", number (occupancy.m_limit) },
+                             { "begun", yesOrNo (call.m_isChainActive) },
+                             { "expected_wait_ms", milliseconds (occupancy.m_expectedQueueTime) },
+                             { "time_left_ms", milliseconds (call.m_request.m_timeLeft) } } };
+    return withRateLimit (std::move (decision), reason, limit);
 }
 
 LogDecision logDispatched (const GateCall& call, const TargetId& target, std::size_t running)
@@ -39,14 +64,15 @@
                { "ran_ms", milliseconds (now - call.m_dispatchedAt) } } };
 }
 
-LogDecision logEnded (const GateCall& call, Reason reason, Time now)
+LogDecision logEnded (const GateCall& call, Reason reason, const RateLimitAt& limit)
 {
-    return { Decision::gateEnded,
-             call.m_request.m_content.m_id,
-             { { "reason", std::string (nameOf (reason)) },
-               { "dispatched", yesOrNo (call.m_isDispatched) },
-               { "begun", yesOrNo (call.m_isChainActive) },
-               { "in_gate_ms", milliseconds (now - call.m_receivedAt) } } };
+    LogDecision decision { Decision::gateEnded,
+                           call.m_request.m_content.m_id,
+                           { { "reason", std::string (nameOf (reason)) },
+                             { "dispatched", yesOrNo (call.m_isDispatched) },
+                             { "begun", yesOrNo (call.m_isChainActive) },
+                             { "in_gate_ms", milliseconds (limit.m_now - call.m_receivedAt) } } };
+    return withRateLimit (std::move (decision), reason, limit);
 }
 
 LogDecision logAnnounced (const LocalTarget& target)
@@ -62,19 +88,19 @@
                { "state", target.isLeaving() ? "leaving" : "serving" } } };
 }
 
-LogDecision logCondition (const TargetId& target, const TargetCondition& before, const TargetCondition& now)
+LogDecision logRateLimit (const TargetId& target, std::optional<double> before, const TargetRateLimit& limit)
 {
-    const auto limitOf = [] (const TargetCondition& condition) {
-        return condition.m_rateLimit.has_value()
-                   ? fmt::format ("{:.6g}", *condition.m_rateLimit)
-                   : std::string (condition.m_isRateLimitMalformed ? "malformed" : "none");
-    };
     return { Decision::targetConditionChanged,
              {},
              { { "target", target },
-               { "rate_limit", limitOf (now) },
-               { "before", limitOf (before) },
-               { "leaving", yesOrNo (now.m_isLeaving) } } };
+               { "rate_limit", rateText (limit.perSecond()) },
+               { "before", rateText (before) },
+               { "stated", yesOrNo (limit.isKnown()) } } };
+}
+
+LogDecision logMalformedRateLimit (const TargetId& target)
+{
+    return { Decision::targetConditionChanged, {}, { { "target", target }, { "rate_limit", "malformed" } } };
 }
 
 LogDecision logAdmission (const AdmissionChange& change)
--- a/modules/plankledge_policy/relay/gate/GateLog.h
+++ b/modules/plankledge_policy/relay/gate/GateLog.h
@@ -3,6 +3,7 @@
 #include "plankledge_policy/Effects.h"
 #include "plankledge_policy/relay/gate/GateCall.h"
 #include "plankledge_policy/relay/gate/LocalTarget.h"
+#include "plankledge_policy/relay/gate/TargetRateLimit.h"
 
 /** Log records of a gate: each decision with its inputs. */
 namespace plankledge::detail
@@ -33,7 +34,16 @@
     auto operator<=> (const AdmissionChange&) const = default;
 };
 
-LogDecision logGateRefused (const GateCall& call, Reason reason, const GateOccupancy& occupancy);
+/** The target's rate limit at the time of a decision. */
+struct RateLimitAt
+{
+    const TargetId& m_target;
+    const TargetRateLimit& m_rateLimit;
+    Time m_now;
+};
+
+LogDecision logGateRefused (const GateCall& call, Reason reason, const GateOccupancy& occupancy,
+                            const RateLimitAt& limit);
 LogDecision logDispatched (const GateCall& call, const TargetId& target, std::size_t running);
 
 /** The target rejected the request, could not be reached or broke off its answer.
@@ -44,9 +54,10 @@
                                std::size_t running, Time now);
 
 /** The gate ended the request without an answer from the target. */
-LogDecision logEnded (const GateCall& call, Reason reason, Time now);
+LogDecision logEnded (const GateCall& call, Reason reason, const RateLimitAt& limit);
 LogDecision logAnnounced (const LocalTarget& target);
-LogDecision logCondition (const TargetId& target, const TargetCondition& before, const TargetCondition& now);
+LogDecision logRateLimit (const TargetId& target, std::optional<double> before, const TargetRateLimit& limit);
+LogDecision logMalformedRateLimit (const TargetId& target);
 LogDecision logAdmission (const AdmissionChange& change);
 
 } // namespace plankledge::detail
--- a/modules/plankledge_policy/relay/gate/LocalTarget.h
+++ b/modules/plankledge_policy/relay/gate/LocalTarget.h
@@ -9,16 +9,6 @@
 namespace plankledge
 {
 
-//==============================================================================
-/** One incarnation of a target, which may restart under the same id. */
-struct TargetIncarnation
-{
-    TargetId m_target;
-    std::optional<Duration> m_startedAt; /**< by the target's clock; nullopt if not announced */
-
-    auto operator<=> (const TargetIncarnation&) const = default;
-};
-
 //==============================================================================
 /**
     The announced state of the target that runs on the same instance as this node.
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -52,9 +52,9 @@
 /** The admission level is logged when it crosses a multiple of this, in thousandths. */
 constexpr int admissionLogStep = 100;
 
-RelayResult refusal (Reason reason)
+Duration scaled (Duration duration, double factor) noexcept
 {
-    return { Outcome::notRun, reason, {}, {} };
+    return Duration (static_cast<Duration::rep> (static_cast<double> (duration.count()) * factor));
 }
 
 } // namespace
@@ -72,15 +72,21 @@
     const auto id = m_nextCallId++;
     auto call = makeCall (turn, caller, std::move (request));
     m_requestedWork += call.m_slotTime;
+    ++m_requestedCalls;
+
+    if (call.m_request.m_restriction.has_value())
+        onRestrictionReported (turn, *call.m_request.m_restriction);
 
     if (const auto reason = refusalReason (turn, id, call); reason != Reason::none)
     {
         const detail::GateOccupancy occupancy { m_running, m_queue.size(), limit(),
-                                                expectedQueueTime (id, call) };
-        turn.emit (detail::logGateRefused (call, reason, occupancy));
+                                                std::max (expectedSlotWait (id, call),
+                                                          expectedRateWait (id, call, turn.now())) };
+        turn.emit (
+            detail::logGateRefused (call, reason, occupancy, { m_target.id(), m_rateLimit, turn.now() }));
         ++turn.counters().m_refusals[reason];
         countIfLost (turn, call);
-        return answer (turn, caller, call.m_request.m_route, refusal (reason));
+        return answer (turn, caller, call.m_request.m_route, refusal (reason, turn.now()));
     }
 
     turn.timers().set (call.m_deadline + deadlineMargin, TimerKind::gateDeadline, id);
@@ -126,7 +132,13 @@
     return std::max (1U, m_target.slots() * maxUsedSlotsPercent / 100);
 }
 
-Duration TargetGate::expectedQueueTime (CallId id, const Call& call) const noexcept
+Duration TargetGate::expectedRateWait (CallId id, const Call& call, Time now) const
+{
+    const auto ahead = std::distance (m_queue.begin(), m_queue.lower_bound (queueKeyOf (id, call)));
+    return m_rateLimit.waitBehind (static_cast<std::size_t> (ahead), now);
+}
+
+Duration TargetGate::expectedSlotWait (CallId id, const Call& call) const noexcept
 {
     if (m_running < limit())
         return {};
@@ -161,8 +173,23 @@
     if (m_queue.size() >= limit() * maxQueuedRounds)
         return Reason::queueFull;
 
-    return turn.now() + expectedQueueTime (id, call) > call.m_queueDeadline ? Reason::overloaded
-                                                                            : Reason::none;
+    const auto maxWait = call.m_queueDeadline - turn.now();
+
+    if (expectedSlotWait (id, call) > maxWait)
+        return Reason::overloaded;
+
+    return expectedRateWait (id, call, turn.now()) > maxWait ? Reason::targetRateLimit : Reason::none;
+}
+
+/** @returns the result of a request that is refused; where the rate limit decides, it may be retried once the
+    queued requests have been dispatched */
+RelayResult TargetGate::refusal (Reason reason, Time now) const
+{
+    const bool isRateLimited = reason == Reason::targetRateLimit;
+    return { Outcome::notRun,
+             reason,
+             {},
+             isRateLimited ? m_rateLimit.waitBehind (m_queue.size(), now) : Duration::zero() };
 }
 
 //==============================================================================
@@ -176,28 +203,47 @@
         // of the process.
         if (! m_calls.at (id).isKeyValidAt (turn.now()))
         {
-            finish (turn, id, refusal (Reason::keyUnproven));
+            finish (turn, id, refusal (Reason::keyUnproven, turn.now()));
             continue;
         }
 
         if (isWithheld (m_calls.at (id), turn.now()))
         {
-            finish (turn, id, refusal (Reason::crashesTargets));
+            finish (turn, id, refusal (Reason::crashesTargets, turn.now()));
             continue;
         }
 
+        if (const auto wait = m_rateLimit.take (turn.now()); wait > Duration::zero())
+            return setRateLimitTimer (turn, turn.now() + wait);
+
         m_queue.erase (m_queue.begin());
         m_queuedWork -= m_calls.at (id).m_slotTime;
         dispatch (turn, id);
     }
 }
 
+void TargetGate::setRateLimitTimer (Turn& turn, Time due)
+{
+    if (m_rateLimitTimerDue.has_value() && *m_rateLimitTimerDue <= due)
+        return;
+
+    m_rateLimitTimerDue = due;
+    turn.timers().set (due, TimerKind::gateRateLimit);
+}
+
+void TargetGate::onRateLimitTimer (Turn& turn)
+{
+    m_rateLimitTimerDue.reset();
+    dispatchNext (turn);
+}
+
 void TargetGate::dispatch (Turn& turn, CallId id)
 {
     auto& call = m_calls.at (id);
     const auto& request = call.m_request;
     call.m_isDispatched = true;
     call.m_dispatchedAt = turn.now();
+    call.m_target = m_target.incarnation();
     ++m_running;
     ++turn.counters().m_dispatches;
     m_runningByRequest[request.m_content.m_id] = id;
@@ -219,8 +265,8 @@
 
     const auto call = removeCall (turn, reply.m_call);
 
-    if (reply.m_condition.has_value())
-        updateCondition (turn, *reply.m_condition);
+    if (reply.m_condition.has_value() && call.m_target == m_target.incarnation())
+        onCondition (turn, call, *reply.m_condition);
 
     const bool isAnswered = reply.m_kind == TargetReplyKind::answered;
     const bool isFailure = ! isAnswered || reply.m_answer.m_status >= serverError;
@@ -232,10 +278,10 @@
         result = { Outcome::completed, Reason::none, reply.m_answer, {} };
         break;
     case TargetReplyKind::rejected:
-        result = refusal (Reason::targetShed);
+        result = refusal (Reason::targetShed, turn.now());
         break;
     case TargetReplyKind::notSent:
-        result = refusal (Reason::targetRefusedConnection);
+        result = refusal (Reason::targetRefusedConnection, turn.now());
         m_closedUntil = turn.now() + connectionRefusedPause;
         break;
     case TargetReplyKind::broken:
@@ -263,13 +309,34 @@
         m_serviceTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now);
 }
 
-void TargetGate::updateCondition (Turn& turn, const TargetCondition& condition)
+void TargetGate::onCondition (Turn& turn, const Call& call, const TargetCondition& condition)
 {
+    if (condition.m_isRateLimitMalformed && m_rateLimit.malformedInARow() == 0)
+        turn.emit (detail::logMalformedRateLimit (m_target.id()));
+
     turn.counters().m_malformedRateLimits += condition.m_isRateLimitMalformed ? 1 : 0;
-    const auto before = std::exchange (m_condition, condition);
+    const auto before = m_rateLimit.perSecond();
 
-    if (m_condition != before)
-        turn.emit (detail::logCondition (m_target.id(), before, m_condition));
+    if (m_rateLimit.onAnswer (condition, call.m_dispatchedAt, turn.now()))
+        onRateLimitChanged (turn, before);
+}
+
+/** Applies what a peer remembers of this target from before this node restarted. */
+void TargetGate::onRestrictionReported (Turn& turn, const TargetRestriction& restriction)
+{
+    if (restriction.m_target != m_target.incarnation())
+        return;
+
+    const auto before = m_rateLimit.perSecond();
+
+    if (restriction.m_rateLimit.has_value() && m_rateLimit.adopt (*restriction.m_rateLimit, turn.now()))
+        onRateLimitChanged (turn, before);
+}
+
+void TargetGate::onRateLimitChanged (Turn& turn, std::optional<double> before)
+{
+    turn.emit (detail::logRateLimit (m_target.id(), before, m_rateLimit));
+    m_isStatusDirty = true;
 }
 
 void TargetGate::updateCrashGuard (Turn& turn, const Call& call, TargetReplyKind kind)
@@ -362,7 +429,7 @@
     m_slotTimes.clear();
     m_failureRate = 0.0;
     m_level = AdmissionLevel();
-    m_condition = {};
+    m_rateLimit = {};
     m_closedUntil = Time();
     turn.emit (DropTargetConnections {});
     m_hooks.m_onStatusChanged (turn);
@@ -422,7 +489,7 @@
         return;
 
     if (! found->second.m_isDispatched)
-        return finish (turn, id, refusal (Reason::deadlineExceeded));
+        return finish (turn, id, refusal (Reason::deadlineExceeded, turn.now()));
 
     addSample (found->second, turn.now(), true);
     turn.emit (CancelTargetCall { id });
@@ -436,7 +503,9 @@
     if (found == m_calls.end() || found->second.m_isDispatched)
         return;
 
-    finish (turn, id, refusal (Reason::overloaded));
+    const bool isRateLimited =
+        m_running < limit() && m_rateLimit.waitBehind (0, turn.now()) > Duration::zero();
+    finish (turn, id, refusal (isRateLimited ? Reason::targetRateLimit : Reason::overloaded, turn.now()));
 }
 
 void TargetGate::onWindowEnd (Turn& turn)
@@ -444,6 +513,9 @@
     m_failureRate *= failureDecay;
     updateOpen (turn);
     dispatchNext (turn);
+
+    if (std::exchange (m_isStatusDirty, false))
+        m_hooks.m_onStatusChanged (turn);
 }
 
 void TargetGate::onPeriodEnd (Turn& turn)
@@ -453,7 +525,9 @@
     m_activeChains.removeBefore (turn.now() - chainRetention);
     const auto before = m_level.permille();
     const auto requested = std::exchange (m_requestedWork, Duration::zero());
-    const auto capacity = m_slotTimes.isEmpty() ? Duration::zero() : AdmissionLevel::period * limit();
+    const auto capacity = capacityOfPeriod (requested);
+    m_requestedCalls = 0;
+    m_sustainableCalls = m_rateLimit.sustainable (AdmissionLevel::period, turn.now());
     m_level.onPeriodEnd ({ requested, m_queuedWork, capacity });
 
     if (std::abs (m_level.permille() - m_publishedLevel) >= admissionPublishStep)
@@ -469,6 +543,18 @@
                                        turn.counters().m_dispatches, turn.counters().m_lostCalls }));
 }
 
+/** @returns the slot time that the target can provide in a period; zero if unknown */
+Duration TargetGate::capacityOfPeriod (Duration requested) const
+{
+    const auto slots = m_slotTimes.isEmpty() ? Duration::zero() : AdmissionLevel::period * limit();
+
+    if (! m_sustainableCalls.has_value() || m_requestedCalls == 0)
+        return slots;
+
+    const auto share = *m_sustainableCalls / static_cast<double> (m_requestedCalls);
+    return share < 1.0 ? std::min (slots, scaled (requested, share)) : slots;
+}
+
 void TargetGate::stop (Turn& turn)
 {
     m_isStopping = true;
@@ -495,7 +581,7 @@
     while (! m_queue.empty())
     {
         const auto id = m_queue.begin()->second;
-        finish (turn, id, refusal (reason));
+        finish (turn, id, refusal (reason, turn.now()));
     }
 }
 
@@ -524,7 +610,7 @@
 void TargetGate::finish (Turn& turn, CallId id, RelayResult result)
 {
     const auto call = removeCall (turn, id);
-    turn.emit (detail::logEnded (call, result.m_reason, turn.now()));
+    turn.emit (detail::logEnded (call, result.m_reason, { m_target.id(), m_rateLimit, turn.now() }));
     ++turn.counters().m_refusals[result.m_reason];
     countIfLost (turn, call);
     answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
@@ -533,7 +619,7 @@
 void TargetGate::answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result)
 {
     const auto time = m_serviceTimes.findAverage (route).value_or (Duration::zero());
-    RelayAnswer message { caller.m_call, std::move (result), status(), time, m_hooks.m_version() };
+    RelayAnswer message { caller.m_call, std::move (result), status (turn.now()), time, m_hooks.m_version() };
 
     if (caller.m_link == 0)
         m_hooks.m_answerLocally (turn, message);
@@ -564,14 +650,25 @@
     m_graph.onCall (caller, callee, service);
 }
 
-GateStatus TargetGate::status() const noexcept
+std::optional<TargetRestriction> TargetGate::restriction() const
+{
+    if (! m_rateLimit.perSecond().has_value())
+        return std::nullopt;
+
+    return TargetRestriction { m_target.incarnation(), m_rateLimit.perSecond() };
+}
+
+GateStatus TargetGate::status (Time now) const
 {
     return { m_isOpen,
              limit(),
              static_cast<std::uint32_t> (m_calls.size()),
              m_queuedWork,
              static_cast<std::uint16_t> (m_failureRate * 1000.0),
-             m_level.permille() };
+             m_level.permille(),
+             m_rateLimit.rate (m_queue.size(), now),
+             restriction(),
+             m_rateLimit.isKnown() };
 }
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -8,6 +8,7 @@
 #include "plankledge_policy/relay/gate/GateCall.h"
 #include "plankledge_policy/relay/gate/LocalTarget.h"
 #include "plankledge_policy/relay/gate/RouteTimes.h"
+#include "plankledge_policy/relay/gate/TargetRateLimit.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
 
 #include <functional>
@@ -24,9 +25,9 @@
     nodes pass through its gate.
 
     The gate limits the number of requests running at the target, so that the target itself
-    does not queue any. Requests above the limit are queued here; a request that cannot be
-    dispatched in time is refused at once. New requests are refused while the target is leaving
-    or this node is stopping.
+    does not queue any, and their rate to the one that the target states. Requests above a limit
+    are queued here; a request that cannot be dispatched in time is refused at once. New requests are refused
+   while the target is leaving or this node is stopping.
 
     @see RelayEntry
 */
@@ -65,6 +66,7 @@
     void onAnnounced (Turn& turn, const TargetAnnounced& announced);
     void onDeadline (Turn& turn, CallId id);
     void onQueueTimeout (Turn& turn, CallId id);
+    void onRateLimitTimer (Turn& turn);
     void onWindowEnd (Turn& turn);
     void onPeriodEnd (Turn& turn);
 
@@ -89,14 +91,12 @@
     /** Records that a nested call of the running request with this id succeeded. */
     void onCallCompleted (std::string_view requestId) noexcept;
 
-    GateStatus status() const noexcept;
+    GateStatus status (Time now) const;
     std::vector<RouteTime> routeTimes() const { return m_serviceTimes.all(); }
     std::vector<CallEdge> callEdges() const { return m_graph.ownEdges(); }
     const LocalTarget& target() const noexcept { return m_target; }
 
-    /** @returns what the target stated in its latest answer */
-    const TargetCondition& condition() const noexcept { return m_condition; }
-
+    const TargetRateLimit& rateLimit() const noexcept { return m_rateLimit; }
     bool isIdle() const noexcept { return m_calls.empty(); }
     std::size_t running() const noexcept { return m_running; }
     std::size_t queued() const noexcept { return m_queue.size(); }
@@ -112,7 +112,8 @@
     Call makeCall (Turn& turn, const GateCaller& caller, RelayRequest request) const;
     static QueueKey queueKeyOf (CallId id, const Call& call) noexcept;
     std::uint32_t limit() const noexcept;
-    Duration expectedQueueTime (CallId id, const Call& call) const noexcept;
+    Duration expectedSlotWait (CallId id, const Call& call) const noexcept;
+    Duration expectedRateWait (CallId id, const Call& call, Time now) const;
     Reason refusalReason (Turn& turn, CallId id, const Call& call) const noexcept;
     void dispatchNext (Turn& turn);
     void dispatch (Turn& turn, CallId id);
@@ -123,7 +124,13 @@
     void answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result);
     Call removeCall (Turn& turn, CallId id);
     void addSample (const Call& call, Time now, bool isFailure);
-    void updateCondition (Turn& turn, const TargetCondition& condition);
+    void onCondition (Turn& turn, const Call& call, const TargetCondition& condition);
+    void onRestrictionReported (Turn& turn, const TargetRestriction& restriction);
+    void onRateLimitChanged (Turn& turn, std::optional<double> before);
+    void setRateLimitTimer (Turn& turn, Time due);
+    std::optional<TargetRestriction> restriction() const;
+    RelayResult refusal (Reason reason, Time now) const;
+    Duration capacityOfPeriod (Duration requested) const;
     void updateCrashGuard (Turn& turn, const Call& call, TargetReplyKind kind);
     void updateCrashGuard (const LocalTarget::Change& change, bool wasLeaving, Time now);
     bool isWithheld (const Call& call, Time now) const;
@@ -132,7 +139,9 @@
 
     Hooks m_hooks;
     LocalTarget m_target;
-    TargetCondition m_condition;
+    TargetRateLimit m_rateLimit;
+    std::optional<Time> m_rateLimitTimerDue; /**< nullopt: none pending */
+    bool m_isStatusDirty = false;            /**< to be sent to peers at the end of the window */
     AdmissionLevel m_level;
     int m_publishedLevel = 1000; /**< thousandths; as last passed to m_onStatusChanged */
     CallGraph m_graph;
@@ -143,12 +152,14 @@
     ActiveChains m_activeChains; /**< chains with a request already dispatched */
     std::size_t m_running = 0;
     CallId m_nextCallId = 1;
-    Duration m_requestedWork {}; /**< slot time of the requests received in this period */
-    Duration m_queuedWork {};    /**< slot time of the queued requests */
-    RouteTimes m_serviceTimes;   /**< of successful requests */
-    RouteTimes m_slotTimes;      /**< of all dispatched requests, including failed ones */
-    double m_failureRate = 0.0;  /**< moving average, 0 to 1 */
-    Time m_closedUntil;          /**< set when a connection was refused */
+    Duration m_requestedWork {};                 /**< slot time of the requests received in this period */
+    std::size_t m_requestedCalls = 0;            /**< received in this period */
+    std::optional<double> m_sustainableCalls {}; /**< in this period; nullopt without a rate limit */
+    Duration m_queuedWork {};                    /**< slot time of the queued requests */
+    RouteTimes m_serviceTimes;                   /**< of successful requests */
+    RouteTimes m_slotTimes;                      /**< of all dispatched requests, including failed ones */
+    double m_failureRate = 0.0;                  /**< moving average, 0 to 1 */
+    Time m_closedUntil;                          /**< set when a connection was refused */
     bool m_isOpen = false;
     bool m_isStopping = false;
 };
--- a/modules/plankledge_policy/relay/limits/TokenBucket.h
+++ b/modules/plankledge_policy/relay/limits/TokenBucket.h
@@ -29,6 +29,12 @@
     */
     Duration take (const RequestLimit& limit, double share, Time now);
 
+    /** @returns the time until the bucket has produced this many tokens for requests that wait */
+    Duration timeUntil (double tokens, const RequestLimit& limit, double share, Time now) const;
+
+    /** @returns the tokens at a time that is not before the last take() */
+    double levelAt (const RequestLimit& limit, double share, Time now) const;
+
     double level() const noexcept { return m_level; }
 
 private:
--- a/modules/plankledge_policy/relay/peers/PeerTable.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerTable.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_policy/relay/peers/PeerTable.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace plankledge
 {
@@ -11,14 +12,56 @@
     return found == m_routeTimes.end() ? Duration::zero() : found->second;
 }
 
-Duration Peer::expectedQueueTime (const RouteName& route) const noexcept
+namespace
+{
+
+/** Upper bound of the expected wait for a rate limit. */
+constexpr Duration maxRateWait = std::chrono::minutes (1);
+
+/** @returns how long a request sent now waits for the rate limit of the peer's target */
+Duration expectedRateWait (const Peer& peer, Time now) noexcept
+{
+    if (! peer.m_gate.m_rate.has_value())
+        return {};
+
+    const auto& rate = *peer.m_gate.m_rate;
+    const auto age = std::chrono::duration<double> (now - peer.m_gateUpdatedAt).count();
+    const auto tokens =
+        std::min (rate.m_tokens + age * rate.m_perSecond, rate.m_burst) - peer.m_sentSinceStatus;
+
+    // Also covers values of a faulty peer that are not numbers.
+    if (! (tokens < 1.0 && rate.m_perSecond > 0.0))
+        return {};
+
+    const auto wait =
+        std::min ((1.0 - tokens) / rate.m_perSecond, std::chrono::duration<double> (maxRateWait).count());
+    return std::chrono::duration_cast<Duration> (std::chrono::duration<double> (wait));
+}
+
+} // namespace
+
+Duration Peer::expectedQueueTime (const RouteName& route, Time now) const noexcept
 {
     const auto limit = std::max<std::uint32_t> (1, m_gate.m_limit);
+    const auto rateWait = expectedRateWait (*this, now);
 
     if (load() < limit)
-        return {};
+        return rateWait;
+
+    return std::max (rateWait, (m_gate.m_queuedWork + m_workSinceStatus + routeTimeOf (route)) / limit);
+}
 
-    return (m_gate.m_queuedWork + m_workSinceStatus + routeTimeOf (route)) / limit;
+double Peer::sustainableConcurrency() const noexcept
+{
+    if (! m_gate.m_rate.has_value() || m_routeTimes.empty())
+        return m_gate.m_limit;
+
+    const auto sum =
+        std::accumulate (m_routeTimes.begin(), m_routeTimes.end(), Duration::zero(),
+                         [] (Duration total, const auto& route) { return total + route.second; });
+    const auto meanTime =
+        std::chrono::duration<double> (sum).count() / static_cast<double> (m_routeTimes.size());
+    return std::clamp<double> (m_gate.m_rate->m_perSecond * meanTime, 0.0, m_gate.m_limit);
 }
 
 //==============================================================================
@@ -114,6 +157,7 @@
 
 bool PeerTable::onGate (const InstanceName& instance, const GateStatus& gate, Time now)
 {
+    m_restrictions.onGate (instance, gate);
     auto* peer = find (instance);
 
     if (peer == nullptr)
--- a/modules/plankledge_policy/relay/peers/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -4,6 +4,7 @@
 #include "plankledge_core/RelayMessages.h"
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/peers/LinkDelayEstimator.h"
+#include "plankledge_policy/relay/peers/TargetRestrictions.h"
 
 #include <map>
 #include <optional>
@@ -41,7 +42,10 @@
     Duration routeTimeOf (const RouteName& route) const noexcept;
 
     /** @returns how long a request sent now is expected to be queued at its gate */
-    Duration expectedQueueTime (const RouteName& route) const noexcept;
+    Duration expectedQueueTime (const RouteName& route, Time now) const noexcept;
+
+    /** @returns how many requests its target can run at a time, given the rate limit that it states */
+    double sustainableConcurrency() const noexcept;
 };
 
 //==============================================================================
@@ -138,6 +142,8 @@
     */
     std::vector<InstanceName> takeNewlyUnreachable (Time now);
 
+    const TargetRestrictions& restrictions() const noexcept { return m_restrictions; }
+
     Peer* find (const InstanceName& instance) noexcept;
     const Peer* find (const InstanceName& instance) const noexcept;
 
@@ -162,6 +168,7 @@
 
     const InstanceName m_self;
     std::map<InstanceName, Peer> m_peers;
+    TargetRestrictions m_restrictions;
     std::map<ServiceName, std::vector<Peer*>> m_byService;
     std::map<ZoneName, std::vector<Peer*>> m_byZone;
     std::vector<Peer*> m_noPeers;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -76,6 +76,7 @@
     appendCounter (text, "dispatches_total", counters.m_dispatches);
     appendCounter (text, "lost_calls_total", counters.m_lostCalls);
     appendCounter (text, "redirects_total", counters.m_redirects);
+    appendCounter (text, "rate_limit_redirects_total", counters.m_rateLimitRedirects);
     appendCounter (text, "crash_reports_total", counters.m_crashReports);
     appendCounter (text, "crashes_withdrawn_total", counters.m_crashesWithdrawn);
     appendCounter (text, "malformed_rate_limits_total", counters.m_malformedRateLimits);
@@ -196,7 +197,7 @@
                                 const ControlTraffic& traffic, Time now)
 {
     const auto& relay = reducer.relay();
-    const auto gate = relay.gate().status();
+    const auto gate = relay.gate().status (now);
     std::string text;
 
     appendRequestCounters (text, reducer.counters());
@@ -217,8 +218,12 @@
 
     appendGauge (text, "target_failure_permille", gate.m_failurePermille);
 
-    if (const auto& condition = relay.gate().condition(); condition.m_rateLimit.has_value())
-        appendGauge (text, "target_rate_limit", *condition.m_rateLimit);
+    if (const auto limit = relay.gate().rateLimit().perSecond(); limit.has_value())
+    {
+        appendGauge (text, "target_rate_limit", *limit);
+        appendGauge (text, "target_rate_limit_age_milliseconds",
+                     static_cast<double> (toMilliseconds (relay.gate().rateLimit().age (now))));
+    }
 
     appendGauge (text, "crashes_remembered", static_cast<double> (relay.crashes().crashHistory().crashes()));
     appendGauge (text, "contents_held", static_cast<double> (relay.crashes().crashHistory().held()));
--- a/modules/plankledge_runtime/NoticeLog.cpp
+++ b/modules/plankledge_runtime/NoticeLog.cpp
@@ -62,12 +62,13 @@
 std::string_view nameOf (Decision decision) noexcept
 {
     constexpr std::array<std::string_view, static_cast<std::size_t> (Decision::decisionCount)> names {
-        "request-sent",      "request-sent-again", "request-answered", "request-refused", "request-given-up",
-        "request-cancelled", "gate-dispatched",    "gate-refused",     "gate-ended",      "target-announced",
-        "peer-found",        "peer-lost",          "peer-regained",    "routes-in-force", "routes-invalid",
-        "admission-moved",   "store-following",    "member-published", "keys-opened",     "keys-closed",
-        "limit-homes",       "crash-reported",     "crash-withdrawn",  "content-held",    "store-restored",
-        "target-condition-changed"
+        "request-sent",     "request-sent-again",      "request-answered", "request-refused",
+        "request-given-up", "request-cancelled",       "gate-dispatched",  "gate-refused",
+        "gate-ended",       "target-announced",        "peer-found",       "peer-lost",
+        "peer-regained",    "routes-in-force",         "routes-invalid",   "admission-moved",
+        "store-following",  "member-published",        "keys-opened",      "keys-closed",
+        "limit-homes",      "crash-reported",          "crash-withdrawn",  "content-held",
+        "store-restored",   "target-condition-changed"
     };
     static_assert (! names.back().empty(), "every decision has a name");
     return names.at (static_cast<std::size_t> (decision));
--- a/tests/platform/MalformedInputFuzz_test.cpp
+++ b/tests/platform/MalformedInputFuzz_test.cpp
@@ -235,9 +235,12 @@
 {
     Mutator mutator (5);
     const Member member { { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::serving, 0 };
+    GateStatus gate;
+    gate.m_rate = GateRate { 17.1, 8.5, -2.0 };
+    gate.m_restriction = TargetRestriction { { "target-1", Milliseconds (9) }, 17.1 };
     const PeerMessage messages[] = {
-        PeerHello { member, 3, {}, {}, true, { { 1, 17 }, true, true } },
-        PeerStatus { 3, {}, { { "route", Milliseconds (5) } }, std::nullopt, {} },
+        PeerHello { member, 3, gate, {}, true, { { 1, 17 }, true, true } },
+        PeerStatus { 3, gate, { { "route", Milliseconds (5) } }, std::nullopt, {} },
         MembersPull { { 1, 12 } },
         MembersUpdate { { member }, { "node-2" }, { 1, 18 } },
         ProofQuery { Milliseconds (5) },
--- a/tests/relay/gate/AdmissionLevelPropagation_test.cpp
+++ b/tests/relay/gate/AdmissionLevelPropagation_test.cpp
@@ -25,7 +25,7 @@
         rig.send ("busy", "a" + std::to_string (index), "/read/x");
         rig.run (Milliseconds (2));
         const auto received = rig.reducer ("idle").relay().peers().find ("one")->m_gate.m_admittedPermille;
-        const auto level = rig.reducer ("one").relay().gate().status().m_admittedPermille;
+        const auto level = rig.reducer ("one").relay().gate().status (rig.now()).m_admittedPermille;
         lag = received > level + 50 ? lag + Milliseconds (2) : Duration::zero();
         CHECK (lag < Milliseconds (50));
     }
--- a/tests/relay/gate/SlotTime_test.cpp
+++ b/tests/relay/gate/SlotTime_test.cpp
@@ -76,7 +76,7 @@
     {
         tickets.push_back (rig.send ("entry", "b" + std::to_string (index), "/fetch/x"));
         rig.run (Duration (2500));
-        CHECK (rig.reducer ("one").relay().gate().status().m_admittedPermille == 1000);
+        CHECK (rig.reducer ("one").relay().gate().status (rig.now()).m_admittedPermille == 1000);
     }
 
     rig.run (std::chrono::seconds (1));
--- a/tests/relay/gate/TargetRateLimit_test.cpp
+++ b/tests/relay/gate/TargetRateLimit_test.cpp
@@ -1,6 +1,9 @@
+#include "plankledge_policy/relay/gate/TargetRateLimit.h"
 #include "support/RateSite.h"
 
+#include <cmath>
 #include <doctest/doctest.h>
+#include <limits>
 
 /*  Guards against a target getting more requests than the rate that it states in its answers, from all nodes
     together, and against refusing requests that other targets could serve. */
@@ -32,6 +35,101 @@
 
 } // namespace
 
+//==============================================================================
+namespace
+{
+
+const Time start { std::chrono::hours (1) };
+
+/** An answer that arrives at the gate. */
+struct StatedRow
+{
+    const char* m_name;
+    std::optional<double> m_rate;
+    int m_dispatchedMs; /**< after the start, as m_arrivedMs */
+    int m_arrivedMs;
+    std::optional<double> m_inForce;
+};
+
+// Rows are applied in turn to one limit.
+const StatedRow statedRows[] = {
+    { "none", std::nullopt, 0, 50, std::nullopt },
+    { "first stated", 20.0, 40, 100, 20.0 },
+    { "written before it was stated, arrives after", std::nullopt, 60, 110, 20.0 },
+    { "lowered, whenever its request was dispatched", 5.0, 10, 120, 5.0 },
+    { "the earlier limit, arrives late", 20.0, 90, 130, 5.0 },
+    { "the same again", 5.0, 130, 200, 5.0 },
+    { "raised, dispatched before the limit was last stated", 10.0, 199, 210, 5.0 },
+    { "raised, dispatched after it", 10.0, 201, 220, 10.0 },
+    { "ended", std::nullopt, 230, 300, std::nullopt },
+};
+
+} // namespace
+
+TEST_CASE ("answers that arrive in another order than they were written neither raise nor end a limit")
+{
+    TargetRateLimit limit;
+
+    for (const auto& row : statedRows)
+    {
+        CAPTURE (row.m_name);
+        limit.onAnswer ({ row.m_rate, false, false }, start + Milliseconds (row.m_dispatchedMs),
+                        start + Milliseconds (row.m_arrivedMs));
+        CHECK (limit.perSecond() == row.m_inForce);
+    }
+}
+
+TEST_CASE ("a limit that can't be read leaves the present one in force")
+{
+    TargetRateLimit limit;
+    const TargetCondition malformed { std::nullopt, true, false };
+    CHECK_FALSE (limit.onAnswer (malformed, start, start));
+    CHECK_FALSE (limit.isKnown());
+    limit.onAnswer ({ 3.0, false, false }, start, start);
+    CHECK_FALSE (limit.onAnswer (malformed, start + seconds (1), start + seconds (2)));
+    CHECK (limit.perSecond() == 3.0);
+    CHECK (limit.malformedInARow() == 1);
+}
+
+TEST_CASE (
+    "a limit that a peer remembers holds until the target answers, and lets one request through at once")
+{
+    TargetRateLimit limit;
+
+    for (const auto invalid : { -1.0, std::nan (""), std::numeric_limits<double>::infinity() })
+        CHECK_FALSE (limit.adopt (invalid, start));
+
+    CHECK (limit.adopt (2.0, start));
+    CHECK (limit.take (start) == Duration::zero());
+    CHECK (limit.take (start) == Milliseconds (500));
+    CHECK_FALSE (limit.adopt (4.0, start));
+    CHECK (limit.adopt (1.0, start));
+
+    limit.onAnswer ({}, start, start + Milliseconds (50));
+    CHECK_FALSE (limit.perSecond().has_value());
+    CHECK_FALSE (limit.adopt (2.0, start + Milliseconds (60)));
+}
+
+TEST_CASE ("after an idle period half a second's requests follow at once, one at least; then the rate holds")
+{
+    for (const auto& [rate, burst] : { std::pair (20.0, 10), std::pair (1.0, 1), std::pair (0.0, 1) })
+    {
+        CAPTURE (rate);
+        TargetRateLimit limit;
+        limit.onAnswer ({ rate, false, false }, start, start);
+        CHECK (limit.take (start) > Duration::zero());
+        const auto later = start + seconds (100);
+
+        for (int index = 0; index < burst; ++index)
+            CHECK (limit.take (later) == Duration::zero());
+
+        const auto wait = limit.take (later);
+        CHECK (wait == limit.waitBehind (0, later));
+        CHECK (wait <= seconds (5));
+        CHECK (limit.take (later + wait) == Duration::zero());
+    }
+}
+
 //==============================================================================
 TEST_CASE ("a target gets no more than its stated rate, and other targets serve the rest")
 {
--- a/tests/relay/peers/PeerTable_test.cpp
+++ b/tests/relay/peers/PeerTable_test.cpp
@@ -112,15 +112,15 @@
     const auto& one = *table.find ("one");
     CHECK (one.routeTimeOf ("log") == Milliseconds (400));
     CHECK (one.routeTimeOf ("fetch") == Milliseconds (40));
-    CHECK (one.expectedQueueTime ("log") == Duration::zero());
+    CHECK (one.expectedQueueTime ("log", start) == Duration::zero());
 
     for (int index = 0; index < 20; ++index)
         table.onSent ("one", "fetch", start);
 
-    CHECK (one.expectedQueueTime ("log") == Milliseconds (400) / 20);
-    CHECK (one.expectedQueueTime ("fetch") == Milliseconds (40) / 20);
+    CHECK (one.expectedQueueTime ("log", start) == Milliseconds (400) / 20);
+    CHECK (one.expectedQueueTime ("fetch", start) == Milliseconds (40) / 20);
     table.onSent ("one", "log", start);
-    CHECK (one.expectedQueueTime ("fetch") == Milliseconds (440) / 20);
+    CHECK (one.expectedQueueTime ("fetch", start) == Milliseconds (440) / 20);
 
     table.onRouteTimes ("one", { { "fetch", Milliseconds (40) } });
     CHECK (one.routeTimeOf ("log") == Duration::zero());
