A target that says in an answer that it is leaving gets no further request

Same cause as the limit: the header was passed on and read by nobody. From the answer on, rejections included, the gate treats it as the draining announcement, for the rest of that incarnation. It is part of TargetRestriction, so a gate that restarts learns it with the first request of a node that was told, also where all announcements say that the target serves; this holds for a leaving that was announced to the earlier process, too.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -113,10 +113,14 @@
 {
     TargetIncarnation m_target;
     std::optional<double> m_rateLimit {}; /**< see TargetCondition */
+    bool m_isLeaving = false;             /**< final: it holds for the rest of the incarnation */
 
     auto operator<=> (const TargetRestriction&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_target, m_rateLimit); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_target, m_rateLimit, m_isLeaving);
+    }
 };
 
 /** The rate at which a gate dispatches to a target that states a rate limit. */
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -265,7 +265,7 @@
 
     const auto call = removeCall (turn, reply.m_call);
 
-    if (reply.m_condition.has_value() && call.m_target == m_target.incarnation())
+    if (reply.m_condition.has_value())
         onCondition (turn, call, *reply.m_condition);
 
     const bool isAnswered = reply.m_kind == TargetReplyKind::answered;
@@ -311,6 +311,12 @@
 
 void TargetGate::onCondition (Turn& turn, const Call& call, const TargetCondition& condition)
 {
+    if (condition.m_isLeaving)
+        onLeavingStated (turn, call.m_target);
+
+    if (call.m_target != m_target.incarnation())
+        return;
+
     if (condition.m_isRateLimitMalformed && m_rateLimit.malformedInARow() == 0)
         turn.emit (detail::logMalformedRateLimit (m_target.id()));
 
@@ -321,12 +327,25 @@
         onRateLimitChanged (turn, before);
 }
 
+void TargetGate::onLeavingStated (Turn& turn, const TargetIncarnation& target)
+{
+    if (m_target.onLeavingStated (target) != LocalTarget::Change::leaving || ! m_target.isLeaving())
+        return;
+
+    m_hooks.m_crashes.detector().onLeaving();
+    turn.emit (detail::logAnnounced (m_target));
+    updateOpen (turn);
+}
+
 /** Applies what a peer remembers of this target from before this node restarted. */
 void TargetGate::onRestrictionReported (Turn& turn, const TargetRestriction& restriction)
 {
     if (restriction.m_target != m_target.incarnation())
         return;
 
+    if (restriction.m_isLeaving)
+        onLeavingStated (turn, restriction.m_target);
+
     const auto before = m_rateLimit.perSecond();
 
     if (restriction.m_rateLimit.has_value() && m_rateLimit.adopt (*restriction.m_rateLimit, turn.now()))
@@ -652,10 +671,10 @@
 
 std::optional<TargetRestriction> TargetGate::restriction() const
 {
-    if (! m_rateLimit.perSecond().has_value())
+    if (! m_rateLimit.perSecond().has_value() && ! m_target.isLeaving())
         return std::nullopt;
 
-    return TargetRestriction { m_target.incarnation(), m_rateLimit.perSecond() };
+    return TargetRestriction { m_target.incarnation(), m_rateLimit.perSecond(), m_target.isLeaving() };
 }
 
 GateStatus TargetGate::status (Time now) const
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -125,6 +125,7 @@
     Call removeCall (Turn& turn, CallId id);
     void addSample (const Call& call, Time now, bool isFailure);
     void onCondition (Turn& turn, const Call& call, const TargetCondition& condition);
+    void onLeavingStated (Turn& turn, const TargetIncarnation& target);
     void onRestrictionReported (Turn& turn, const TargetRestriction& restriction);
     void onRateLimitChanged (Turn& turn, std::optional<double> before);
     void setRateLimitTimer (Turn& turn, Time due);
--- a/tests/platform/MalformedInputFuzz_test.cpp
+++ b/tests/platform/MalformedInputFuzz_test.cpp
@@ -237,7 +237,7 @@
     const Member member { { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::serving, 0 };
     GateStatus gate;
     gate.m_rate = GateRate { 17.1, 8.5, -2.0 };
-    gate.m_restriction = TargetRestriction { { "target-1", Milliseconds (9) }, 17.1 };
+    gate.m_restriction = TargetRestriction { { "target-1", Milliseconds (9) }, 17.1, true };
     const PeerMessage messages[] = {
         PeerHello { member, 3, gate, {}, true, { { 1, 17 }, true, true } },
         PeerStatus { 3, gate, { { "route", Milliseconds (5) } }, std::nullopt, {} },
