Soak: targets state rate limits and that they are leaving, counted where requests arrive

Checked from outside: arrivals at the target by the node where the request began and by what that node had passed on.

--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -11,6 +11,9 @@
 
 // Guaranteed bounds. Those of retries match the flags of the nodes under test.
 constexpr Duration drainBound = std::chrono::seconds (2);
+constexpr Duration rateBound = std::chrono::seconds (3); // from when a target first states a rate limit
+constexpr Duration rateWindow = std::chrono::seconds (4);
+constexpr Duration rateToldDelay = Milliseconds (500); // after a node passed on an answer that states it
 constexpr Duration configurationBound = std::chrono::seconds (2);
 constexpr Duration rollbackMargin = Milliseconds (500); // tolerates late timers on a loaded machine
 constexpr Duration retryWindow = std::chrono::seconds (10);
@@ -77,6 +80,8 @@
     ++arrivals.m_count;
     arrivals.m_runs += ran ? 1 : 0;
 
+    m_arrivalsByTarget[target].push_back ({ id, originOf (id), now });
+
     if (arrivals.m_count > 1)
         m_retryArrivals[service].push_back (now);
 
@@ -103,6 +108,8 @@
     checkRefusals (lines);
     checkAnswers (lines);
     checkDraining (lines);
+    checkStatedRates (lines);
+    checkStatedLeaving (lines);
     checkPlannedStops (lines);
     checkConfiguration (lines);
     checkTimeouts (lines);
@@ -164,6 +171,94 @@
                      seconds (late.m_at - m_drainAcknowledgedAt.at (late.m_target))));
 }
 
+void RunHistory::onRateStated (const std::string& target, double perSecond, Time from, Time until)
+{
+    for (auto& earlier : m_statedRates)
+        if (earlier.m_target == target)
+            earlier.m_until = std::min (earlier.m_until, from);
+
+    m_statedRates.push_back ({ target, perSecond, from, until });
+}
+
+void RunHistory::onAnswerPassed (const InstanceName& node, const HttpResponse& response, Time now)
+{
+    const std::pair key { node, std::string (findHeader (response.m_headers, targetIdHeader)) };
+
+    if (! findHeader (response.m_headers, rateLimitHeader).empty())
+        m_ratePassedAt.try_emplace (key, now);
+
+    if (! findHeader (response.m_headers, leavingHeader).empty())
+        m_leavingPassedAt.try_emplace (key, now);
+}
+
+/** A nested call's id ends with the name of the instance that made it and a number. */
+InstanceName RunHistory::originOf (const std::string& id) const
+{
+    if (const auto found = m_requests.find (id); found != m_requests.end())
+        return found->second.m_node;
+
+    const auto start = id.rfind ('.') + 1;
+    return id.substr (start, id.rfind ('-') - start);
+}
+
+/** @returns whether the node at which a request began had passed on the target's statement some time before,
+    and no fault of that node's own has occurred since */
+bool RunHistory::wasTold (const PassedAt& passed, const std::string& target, const TargetArrival& arrival,
+                          Duration delay) const
+{
+    const auto found = passed.find ({ arrival.m_origin, target });
+
+    if (found == passed.end() || arrival.m_at < found->second + delay)
+        return false;
+
+    return std::none_of (m_faultWindows.begin(), m_faultWindows.end(), [&] (const FaultWindow& window) {
+        return window.m_node == arrival.m_origin && window.m_from <= arrival.m_at &&
+               window.m_until >= found->second;
+    });
+}
+
+void RunHistory::checkStatedRates (Lines& lines) const
+{
+    std::size_t count = 0;
+
+    for (const auto& rate : m_statedRates)
+    {
+        std::vector<Time> times;
+        const auto arrivals = m_arrivalsByTarget.find (rate.m_target);
+
+        if (arrivals == m_arrivalsByTarget.end())
+            continue;
+
+        for (const auto& arrival : arrivals->second)
+            if (arrival.m_at >= rate.m_from + rateBound && arrival.m_at < rate.m_until &&
+                wasTold (m_ratePassedAt, rate.m_target, arrival, rateToldDelay))
+                times.push_back (arrival.m_at);
+
+        const auto allowed = 1.5 * rate.m_perSecond * seconds (rateWindow) + 5.0;
+
+        for (const auto& from : times)
+            if (const auto most = countWithin (times, from, from + rateWindow);
+                static_cast<double> (most) > allowed)
+                addLine (
+                    lines, count,
+                    fmt::format ("rate-limit: {} requests reached target {} within {:.0f} s, {:.0f} allowed",
+                                 most, rate.m_target, seconds (rateWindow), allowed));
+    }
+}
+
+void RunHistory::checkStatedLeaving (Lines& lines) const
+{
+    std::size_t count = 0;
+
+    for (const auto& [target, arrivals] : m_arrivalsByTarget)
+        for (const auto& arrival : arrivals)
+            if (wasTold (m_leavingPassedAt, target, arrival, drainBound))
+                addLine (lines, count,
+                         fmt::format ("leaving: request {} reached target {} although its node had passed on "
+                                      "that it is leaving",
+                                      arrival.m_id, target));
+}
+
 /** Checks that shutdowns, reloads and new configurations interrupt no request. */
 void RunHistory::checkPlannedStops (Lines& lines) const
 {
@@ -294,6 +389,9 @@
     for (const auto& window : m_faultWindows)
         lastFaultEnd = std::max (lastFaultEnd, window.m_until);
 
+    for (const auto& rate : m_statedRates)
+        lastFaultEnd = std::max (lastFaultEnd, rate.m_until);
+
     std::size_t sent = 0;
     std::size_t served = 0;
     std::map<std::string, std::size_t> unserved;
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -3,6 +3,8 @@
 #include "plankledge_core/Identity.h"
 #include "plankledge_core/Time.h"
 
+#include "plankledge_runtime/Http.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -31,6 +33,11 @@
     bool m_isBodyCorrect = true; /**< false if the body of a 200 response differs from makeBody() */
 };
 
+/** Headers of a target's answers, which nodes pass on. */
+constexpr std::string_view targetIdHeader = "Soak-Target";
+constexpr std::string_view rateLimitHeader = "Server-Limit";
+constexpr std::string_view leavingHeader = "Server-Leaving";
+
 /** The time in which a fault or a planned operation may affect requests. */
 struct FaultWindow
 {
@@ -68,6 +75,12 @@
         m_drainAcknowledgedAt.emplace (target, now);
     }
 
+    /** Records that a target states a rate limit in its answers for a time, in place of an earlier one. */
+    void onRateStated (const std::string& target, double perSecond, Time from, Time until);
+
+    /** Records that a node has passed on an answer, which may state that its target is limited or leaving. */
+    void onAnswerPassed (const InstanceName& node, const HttpResponse& response, Time now);
+
     void onPublished (std::uint64_t version, Time now) { m_publishedAt[version] = now; }
     void onFault (const FaultWindow& window) { m_faultWindows.push_back (window); }
 
@@ -92,8 +105,32 @@
         Time m_at;
     };
 
+    struct TargetArrival
+    {
+        std::string m_id;
+        InstanceName m_origin; /**< node at which the request began */
+        Time m_at;
+    };
+
+    struct StatedRate
+    {
+        std::string m_target;
+        double m_perSecond = 0.0;
+        Time m_from;
+        Time m_until;
+    };
+
+    /** When a node first passed on an answer of a target that states something. */
+    using PassedAt = std::map<std::pair<InstanceName, std::string>, Time>;
+
     using Lines = std::vector<std::string>;
 
+    InstanceName originOf (const std::string& id) const;
+    bool wasTold (const PassedAt& passed, const std::string& target, const TargetArrival& arrival,
+                  Duration delay) const;
+    void checkStatedRates (Lines& lines) const;
+    void checkStatedLeaving (Lines& lines) const;
+
     void checkAtMostOnce (Lines& lines) const;
     void checkRefusals (Lines& lines) const;
     void checkAnswers (Lines& lines) const;
@@ -121,6 +158,11 @@
     /** Arrivals after the first of each request, by service. */
     std::map<std::string, std::vector<Time>> m_retryArrivals;
 
+    std::map<std::string, std::vector<TargetArrival>> m_arrivalsByTarget;
+    std::vector<StatedRate> m_statedRates;
+    PassedAt m_ratePassedAt;
+    PassedAt m_leavingPassedAt;
+
     std::map<std::string, Time> m_drainAcknowledgedAt;
     std::vector<LateArrival> m_lateArrivals;
     std::map<std::uint64_t, Time> m_publishedAt;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -16,6 +16,7 @@
 DEFINE_int32 (seconds, 20, "duration of the fault phase in seconds; a phase without faults follows");
 DEFINE_int32 (nodes, 9, "number of instances, distributed over three services and three zones; at most 200");
 DEFINE_int32 (rate, 250, "total requests per second of all clients");
+DEFINE_bool (conditions, false, "targets state rate limits and that they are leaving in their answers");
 DEFINE_string (program, "build/plankledge-sidecar", "path of the node program");
 DEFINE_string (logs, "", "folder for the nodes' logs; empty: a temporary folder that is removed at exit");
 
@@ -27,6 +28,10 @@
 
 constexpr Duration warmUpTime = std::chrono::seconds (3);
 constexpr Duration coolDownTime = std::chrono::seconds (9);
+constexpr Duration drainSettlingTime = std::chrono::seconds (5);
+constexpr Duration conditionInterval = std::chrono::seconds (2);
+constexpr Duration rateLimitTime = std::chrono::seconds (8); // longer than the check's window and delay
+constexpr double statedRates[] = { 0.0, 0.5, 2.0, 17.1 };
 constexpr Duration stepInterval = Milliseconds (10);
 constexpr Duration requestTimeout = Milliseconds (1500);
 constexpr const char* operatorTopic = "keyed.op";
@@ -114,6 +119,7 @@
     SoakTest()
         : m_faultRandom (FLAGS_seed)
         , m_trafficRandom (~FLAGS_seed)
+        , m_conditionRandom (FLAGS_seed * 31)
         , m_timer (m_context)
         , m_store (m_context)
     {
@@ -143,6 +149,7 @@
         m_start = BootClock::now() + warmUpTime;
         m_end = m_start + Duration (std::chrono::seconds (FLAGS_seconds));
         m_nextFault = m_start + Duration (std::chrono::seconds (1));
+        m_nextCondition = m_start;
         m_nextRequest = m_start;
         step();
         m_context.run();
@@ -203,6 +210,9 @@
         while (m_nextFault <= now && now < m_end)
             startFault();
 
+        while (FLAGS_conditions && m_nextCondition <= now && now < m_end)
+            stateCondition();
+
         if (now >= m_end + coolDownTime + requestTimeout * 2)
             return m_context.stop();
 
@@ -267,7 +277,7 @@
                                      kind == FaultKind::configuration;
         const auto settling =
             kind == FaultKind::stop || kind == FaultKind::kill || kind == FaultKind::drainTarget
-                ? Duration (std::chrono::seconds (5))
+                ? drainSettlingTime
                 : Duration::zero();
         m_runHistory.onFault ({ faultNames[static_cast<std::size_t> (kind)],
                                 affectsAllNodes ? InstanceName() : node.name(), isPlanned (kind), now,
@@ -278,6 +288,28 @@
         inject (kind, node, duration);
     }
 
+    /** Makes a target state in its answers that it is limited or leaving. */
+    void stateCondition()
+    {
+        m_nextCondition += conditionInterval;
+        auto& node = *m_nodes[m_conditionRandom.below (m_nodes.size())];
+        const auto rate = statedRates[m_conditionRandom.below (std::size (statedRates))];
+        const bool isLeaving = m_conditionRandom.below (3) == 0;
+        const auto now = BootClock::now();
+
+        if (isLeaving)
+        {
+            m_runHistory.onFault ({ "leaving-in-answers", node.name(), true, now, now + drainSettlingTime });
+            node.target().drain (false);
+        }
+        else
+            node.target().limitRate (rate, rateLimitTime);
+
+        fmt::print ("{:6.2f} s  {} {}\n", static_cast<double> ((now - m_start).count()) / 1e6,
+                    isLeaving ? std::string ("leaving in answers") : fmt::format ("rate limit {}", rate),
+                    node.name());
+    }
+
     void inject (FaultKind kind, SoakNode& node, Duration duration)
     {
         switch (kind)
@@ -363,6 +395,7 @@
     boost::asio::io_context m_context { 1 };
     Random m_faultRandom; /**< separate from traffic, whose number of draws depends on timing */
     Random m_trafficRandom;
+    Random m_conditionRandom; /**< separate, so that a seed has the same faults with and without conditions */
     boost::asio::steady_timer m_timer;
     test::StoreStandin m_store;
     RunHistory m_runHistory;
@@ -377,6 +410,7 @@
     Time m_end;
     Time m_nextFault;
     Time m_nextRequest;
+    Time m_nextCondition;
 };
 
 } // namespace plankledge::soak
--- a/tests/soak/SoakNode.cpp
+++ b/tests/soak/SoakNode.cpp
@@ -163,6 +163,10 @@
     const auto& id = node.mapped().m_id;
     const auto* response = std::get_if<HttpResponse> (&answer);
     const auto status = response != nullptr ? response->m_status : 0;
+
+    if (response != nullptr)
+        m_runHistory.onAnswerPassed (name(), *response, BootClock::now());
+
     const bool isBodyCorrect = status != 200 || response->m_body == makeBody (id);
     m_runHistory.onEnded (id, status, isBodyCorrect, BootClock::now());
 }
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -23,28 +23,45 @@
 constexpr int slowFactor = 5;
 constexpr std::uint64_t maxPaddingBytes = 4000;
 
-HttpResponse makeAnswer (const std::string& requestId, std::uint16_t status, bool ran)
+} // namespace
+
+std::string makeBody (const std::string& requestId)
+{
+    auto body = requestId;
+    body.resize (requestId.size() + hashText (requestId) % maxPaddingBytes,
+                 static_cast<char> ('a' + hashText (requestId) % 26));
+    return body;
+}
+
+HttpResponse SoakTarget::makeAnswer (const std::string& requestId, std::uint16_t status, bool ran)
 {
     HttpResponse response;
     response.m_status = status;
     response.m_headers.emplace_back ("Request-Id", requestId);
     response.m_headers.emplace_back ("Keep-Alive", "timeout=5");
+    response.m_headers.emplace_back (targetIdHeader, m_id);
 
     if (! ran)
         response.m_headers.emplace_back ("Not-Executed", "1");
 
+    if (m_isDraining)
+        response.m_headers.emplace_back (leavingHeader, "1");
+
+    if (m_rateLimit.has_value() && BootClock::now() < m_rateLimitUntil)
+        response.m_headers.emplace_back (rateLimitHeader, fmt::format ("{}", *m_rateLimit));
+
     response.m_body = makeBody (requestId);
     return response;
 }
 
-} // namespace
-
-std::string makeBody (const std::string& requestId)
+void SoakTarget::limitRate (double perSecond, Duration duration)
 {
-    auto body = requestId;
-    body.resize (requestId.size() + hashText (requestId) % maxPaddingBytes,
-                 static_cast<char> ('a' + hashText (requestId) % 26));
-    return body;
+    if (! m_isServing || m_isDraining)
+        return;
+
+    m_rateLimit = perSecond;
+    m_rateLimitUntil = BootClock::now() + duration;
+    m_runHistory.onRateStated (m_id, perSecond, BootClock::now(), m_rateLimitUntil);
 }
 
 //==============================================================================
@@ -174,6 +191,9 @@
 
     const auto* response = std::get_if<HttpResponse> (&answer);
 
+    if (response != nullptr)
+        m_runHistory.onAnswerPassed (m_options.m_instance, *response, BootClock::now());
+
     if (response == nullptr || response->m_status != 200)
         return finish (node.mapped(), 500);
 
@@ -193,6 +213,7 @@
 {
     m_id = fmt::format ("{}-target-{}", m_options.m_instance, ++m_incarnation);
     m_isDraining = false;
+    m_rateLimit.reset();
     m_isServing = true;
 }
 
@@ -207,12 +228,13 @@
         request.m_body = fmt::format (
             R"({{"service":"{}","address":"{}:{}","zone":"{}","slots":{},"state":"{}","coldLeftS":0,"callSeq":{}}})",
             m_options.m_service, m_options.m_advertised.m_ip, m_options.m_advertised.m_port, m_options.m_zone,
-            m_options.m_slots, m_isDraining ? "draining" : "ready", ++m_sequence);
-        m_announcer.send (m_options.m_control, std::move (request), announcementTimeout,
-                          [this, id = m_id, isDraining = m_isDraining] (const auto& answer) {
-                              if (isDraining && answer.ok() && answer->m_status == 200)
-                                  m_runHistory.onDrainAcknowledged (id, BootClock::now());
-                          });
+            m_options.m_slots, m_isDraining && m_isDrainAnnounced ? "draining" : "ready", ++m_sequence);
+        m_announcer.send (
+            m_options.m_control, std::move (request), announcementTimeout,
+            [this, id = m_id, isDraining = m_isDraining && m_isDrainAnnounced] (const auto& answer) {
+                if (isDraining && answer.ok() && answer->m_status == 200)
+                    m_runHistory.onDrainAcknowledged (id, BootClock::now());
+            });
     }
 
     m_announceTimer.expires_after (announcementPeriod);
@@ -222,12 +244,13 @@
     });
 }
 
-void SoakTarget::drain()
+void SoakTarget::drain (bool isAnnounced)
 {
     if (m_isDraining || ! m_isServing)
         return;
 
     m_isDraining = true;
+    m_isDrainAnnounced = isAnnounced;
     m_incarnationTimer.expires_after (drainPeriod);
     m_incarnationTimer.async_wait ([this] (const boost::system::error_code& error) {
         if (! error)
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -60,8 +60,13 @@
     /** Announces that it drains, serves requests for a while, then stops and restarts as a new incarnation.
 
         Does nothing while draining or stopped.
+
+        @param isAnnounced   false: only its answers state that it is leaving
     */
-    void drain();
+    void drain (bool isAnnounced = true);
+
+    /** States a rate limit in its answers for a while. */
+    void limitRate (double perSecond, Duration duration);
 
 private:
     //==============================================================================
@@ -72,6 +77,7 @@
     void sendNextCall (const std::shared_ptr<Job>& job);
     void onCallCompleted (CallId call, const TargetClient::Result& answer);
     void finish (const std::shared_ptr<Job>& job, int status);
+    HttpResponse makeAnswer (const std::string& requestId, std::uint16_t status, bool ran);
     void startIncarnation();
     void announce();
     void endIncarnation();
@@ -92,7 +98,10 @@
     unsigned m_running = 0;
     std::uint64_t m_sequence = 0;
     CallId m_nextCall = 1;
+    std::optional<double> m_rateLimit; /**< requests per second */
+    Time m_rateLimitUntil;
     bool m_isDraining = false;
+    bool m_isDrainAnnounced = false;
     bool m_isServing = false;
 };
 
