--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -141,7 +141,8 @@
     drainStarted,
     handoverFinished,
     drainTimedOut,
-    wokeFromPause
+    wokeFromPause,
+    scheduledLate /**< the process stood still for a time shorter than a pause */
 };
 
 struct WriteLog
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -124,8 +124,13 @@
 {
     const auto now = m_turn.now();
 
-    if (now - std::exchange (m_windowStartedAt, now) > windowPeriod + maxWindowDelay)
+    const auto delay = now - std::exchange (m_windowStartedAt, now) - windowPeriod;
+
+    if (delay > maxWindowDelay)
+    {
         m_peers.onPause (now);
+        m_turn.emit (WriteLog { Notice::scheduledLate, {}, toMilliseconds (delay) });
+    }
 
     m_gate.onWindowEnd (m_turn);
     m_peers.onGate (m_peers.self(), m_gate.status (m_turn.now()), now);
--- a/modules/plankledge_runtime/NoticeLog.cpp
+++ b/modules/plankledge_runtime/NoticeLog.cpp
@@ -35,10 +35,12 @@
     case Notice::drainTimedOut:
         return "drain-timed-out";
     case Notice::wokeFromPause:
+        return "woke-from-pause";
+    case Notice::scheduledLate:
         break;
     }
 
-    return "woke-from-pause";
+    return "scheduled-late";
 }
 
 Severity severityOf (Notice notice) noexcept
--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -395,6 +395,8 @@
     std::size_t sent = 0;
     std::size_t served = 0;
     std::map<std::string, std::size_t> unserved;
+    Time firstUnserved = Time::max();
+    Time lastUnserved;
 
     for (const auto& [id, request] : m_requests)
     {
@@ -404,17 +406,24 @@
         ++sent;
 
         if (isServed (request) || request.m_status == 404)
+        {
             ++served;
-        else
-            ++unserved[fmt::format ("{}:{}", request.m_node, request.m_status)];
+            continue;
+        }
+
+        ++unserved[fmt::format ("{}:{}", request.m_node, request.m_status)];
+        firstUnserved = std::min (firstUnserved, request.m_sentAt);
+        lastUnserved = std::max (lastUnserved, request.m_sentAt);
     }
 
     if (sent < minRequestsOfClass ||
         static_cast<double> (served) >= minServedAfterFaults * static_cast<double> (sent))
         return;
 
-    auto line = fmt::format ("recovery: {} of {} requests were served after all faults had ended; others",
-                             served, sent);
+    auto line = fmt::format ("recovery: {} of {} requests were served after all faults had ended, others "
+                             "sent from {:.2f} to {:.2f} s{}:",
+                             served, sent, sinceFirstRequest (firstUnserved),
+                             sinceFirstRequest (lastUnserved), describeStandstills());
 
     for (const auto& [what, count] : unserved)
         line += fmt::format (" {} x {}", what, count);
@@ -423,6 +432,27 @@
 }
 
 //==============================================================================
+double RunHistory::sinceFirstRequest (Time time) const
+{
+    Time first = Time::max();
+
+    for (const auto& [id, request] : m_requests)
+        first = std::min (first, request.m_sentAt);
+
+    return seconds (time - first);
+}
+
+std::string RunHistory::describeStandstills() const
+{
+    std::string text;
+
+    for (const auto& [from, until] : m_standstills)
+        text += fmt::format (", standstill from {:.2f} to {:.2f} s", sinceFirstRequest (from),
+                             sinceFirstRequest (until));
+
+    return text;
+}
+
 std::string RunHistory::summary() const
 {
     std::map<int, std::size_t> byStatus;
@@ -440,7 +470,7 @@
     for (const auto& [status, count] : byStatus)
         text += fmt::format (" {}: {}", status == 0 ? "no response" : std::to_string (status), count);
 
-    return text;
+    return text + describeStandstills();
 }
 
 } // namespace plankledge::soak
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -84,6 +84,10 @@
     void onPublished (std::uint64_t version, Time now) { m_publishedAt[version] = now; }
     void onFault (const FaultWindow& window) { m_faultWindows.push_back (window); }
 
+    /** Records that the process of the soak test itself, and with it all clients, targets and proxies, has
+       stood still. */
+    void onStandstill (Time from, Time until) { m_standstills.push_back ({ from, until }); }
+
     /** @returns a line for each violation of a guarantee, limited to a few of each kind */
     std::vector<std::string> violations() const;
 
@@ -142,6 +146,11 @@
     void checkPriorityOrder (Lines& lines) const;
     void checkRecovery (Lines& lines) const;
 
+    double sinceFirstRequest (Time time) const;
+
+    /** @returns the standstills, in seconds after the first request; empty if there were none */
+    std::string describeStandstills() const;
+
     /** @returns whether no fault affected a node in a time span, bounds included
 
         @param node             empty: faults of any node count
@@ -167,6 +176,7 @@
     std::vector<LateArrival> m_lateArrivals;
     std::map<std::uint64_t, Time> m_publishedAt;
     std::vector<FaultWindow> m_faultWindows;
+    std::vector<std::pair<Time, Time>> m_standstills;
 };
 
 } // namespace plankledge::soak
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -33,6 +33,9 @@
 constexpr Duration rateLimitTime = std::chrono::seconds (8); // longer than the check's window and delay
 constexpr double statedRates[] = { 0.0, 0.5, 2.0, 17.1 };
 constexpr Duration stepInterval = Milliseconds (10);
+
+/** Gap between steps from which the process has stood still; a busy machine delays timers by less. */
+constexpr Duration minStandstill = Milliseconds (250);
 constexpr Duration requestTimeout = Milliseconds (1500);
 constexpr const char* operatorTopic = "keyed.op";
 constexpr std::uint64_t firstVersion = 1;
@@ -196,6 +199,10 @@
     {
         const auto now = BootClock::now();
 
+        if (const auto previous = std::exchange (m_lastStep, now);
+            now - previous > minStandstill && previous != Time())
+            m_runHistory.onStandstill (previous, now);
+
         for (auto& node : m_nodes)
         {
             node->checkProcess (now);
@@ -411,6 +418,7 @@
     Time m_nextFault;
     Time m_nextRequest;
     Time m_nextCondition;
+    Time m_lastStep;
 };
 
 } // namespace plankledge::soak
