--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -382,7 +382,7 @@
                          highPriority, others));
 }
 
-void RunHistory::checkRecovery (Lines& lines) const
+Time RunHistory::calmSince() const
 {
     Time lastFaultEnd {};
 
@@ -392,6 +392,13 @@
     for (const auto& rate : m_statedRates)
         lastFaultEnd = std::max (lastFaultEnd, rate.m_until);
 
+    return lastFaultEnd + settlingTime;
+}
+
+void RunHistory::checkRecovery (Lines& lines) const
+{
+    const auto since = calmSince();
+
     std::size_t sent = 0;
     std::size_t served = 0;
     std::map<std::string, std::size_t> unserved;
@@ -400,7 +407,7 @@
 
     for (const auto& [id, request] : m_requests)
     {
-        if (request.m_sentAt < lastFaultEnd + settlingTime)
+        if (request.m_sentAt < since)
             continue;
 
         ++sent;
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -88,6 +88,9 @@
        stood still. */
     void onStandstill (Time from, Time until) { m_standstills.push_back ({ from, until }); }
 
+    /** @returns the time from which all requests must be served: some time after the last fault */
+    Time calmSince() const;
+
     /** @returns a line for each violation of a guarantee, limited to a few of each kind */
     std::vector<std::string> violations() const;
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <thread>
 #include <unistd.h>
 
 DEFINE_uint64 (seed, 1, "seed of the schedules of faults and requests");
@@ -17,6 +18,8 @@
 DEFINE_int32 (nodes, 9, "number of instances, distributed over three services and three zones; at most 200");
 DEFINE_int32 (rate, 250, "total requests per second of all clients");
 DEFINE_bool (conditions, false, "targets state rate limits and that they are leaving in their answers");
+DEFINE_int32 (standstill_ms, 0,
+              "all processes stand still for this long once the faults have ended; 0: don't");
 DEFINE_string (program, "build/plankledge-sidecar", "path of the node program");
 DEFINE_string (logs, "", "folder for the nodes' logs; empty: a temporary folder that is removed at exit");
 
@@ -34,6 +37,9 @@
 constexpr double statedRates[] = { 0.0, 0.5, 2.0, 17.1 };
 constexpr Duration stepInterval = Milliseconds (10);
 
+/** From the start of the calm time until the standstill that is asked for. */
+constexpr Duration standstillDelay = Milliseconds (300);
+
 /** Gap between steps from which the process has stood still; a busy machine delays timers by less. */
 constexpr Duration minStandstill = Milliseconds (250);
 constexpr Duration requestTimeout = Milliseconds (1500);
@@ -217,6 +223,9 @@
         while (m_nextFault <= now && now < m_end)
             startFault();
 
+        if (FLAGS_standstill_ms > 0 && now >= m_runHistory.calmSince() + standstillDelay && now >= m_end)
+            standStill (Milliseconds (std::exchange (FLAGS_standstill_ms, 0)));
+
         while (FLAGS_conditions && m_nextCondition <= now && now < m_end)
             stateCondition();
 
@@ -317,6 +326,18 @@
                     node.name());
     }
 
+    /** Stops all nodes and this process, with all clients, targets and proxies. */
+    void standStill (Duration duration)
+    {
+        for (auto& node : m_nodes)
+            node->signal (SIGSTOP);
+
+        std::this_thread::sleep_for (duration);
+
+        for (auto& node : m_nodes)
+            node->signal (SIGCONT);
+    }
+
     void inject (FaultKind kind, SoakNode& node, Duration duration)
     {
         switch (kind)
