--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -145,7 +145,7 @@
     std::uint16_t m_failurePermille = 0;  /**< share of failures in the target's recent answers */
     std::uint16_t m_admittedPermille = 0; /**< admission level: lower shed ranks are admitted */
     std::optional<GateRate> m_rate {};    /**< nullopt: not limited */
-    std::optional<TargetRestriction> m_restriction {};
+    std::optional<TargetRestriction> m_restriction {}; /**< nullopt: the target states none */
     bool m_isRestrictionKnown = false; /**< false: the target has not answered this process of the node, which
                                           may lack a restriction */
 
@@ -207,9 +207,10 @@
     Duration
         m_maxQueueTimeOfNewChain {}; /**< the same, if no request of its chain has run at the target yet */
     Duration m_sentAt {};            /**< on the sender's steady clock; used to estimate the transit time */
-    std::optional<TargetRestriction>
-        m_restriction {}; /**< of the receiver's target, as known to the sender: the
-                             receiver may have restarted since it was stated */
+
+    /** Of the receiver's target, as known to the sender; the receiver may have restarted since it was stated.
+     */
+    std::optional<TargetRestriction> m_restriction {};
 
     auto operator<=> (const RelayRequest&) const = default;
 
--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -31,16 +31,15 @@
     std::uint64_t m_dispatches = 0;             /**< calls sent to this node's target */
     std::uint64_t m_lostCalls = 0; /**< calls not run, of chains that the target had started to serve */
     std::uint64_t m_redirects = 0; /**< calls sent to another instance, since one did not accept them */
-    std::uint64_t m_rateLimitRedirects = 0; /**< of these: since the instance's target states a rate limit */
-    std::uint64_t m_crashReports = 0;       /**< reports that the target crashed while running requests */
-    std::uint64_t m_crashesWithdrawn = 0;   /**< reports withdrawn, since the target was still running */
-    std::uint64_t m_acquittals = 0;         /**< suspected requests that the target completed */
-    std::uint64_t m_malformedRateLimits =
-        0;                             /**< answers of the target with a rate limit that can't be read */
-    std::uint64_t m_storeRestores = 0; /**< restores of the store from an older backup */
-    std::uint64_t m_lateAnswers = 0;   /**< answers to calls that had already ended */
-    std::uint64_t m_attached = 0;      /**< duplicates attached to the running request */
-    std::uint64_t m_replayed = 0;      /**< duplicates answered from the record */
+    std::uint64_t m_rateLimitRedirects = 0;  /**< of these: since the instance's target states a rate limit */
+    std::uint64_t m_crashReports = 0;        /**< reports that the target crashed while running requests */
+    std::uint64_t m_crashesWithdrawn = 0;    /**< reports withdrawn, since the target was still running */
+    std::uint64_t m_acquittals = 0;          /**< suspected requests that the target completed */
+    std::uint64_t m_malformedRateLimits = 0; /**< answers of the target, whose rate limit can't be read */
+    std::uint64_t m_storeRestores = 0;       /**< restores of the store from an older backup */
+    std::uint64_t m_lateAnswers = 0;         /**< answers to calls that had already ended */
+    std::uint64_t m_attached = 0;            /**< duplicates attached to the running request */
+    std::uint64_t m_replayed = 0;            /**< duplicates answered from the record */
     std::uint64_t m_inquiries = 0;
     std::uint64_t m_detectedPauses = 0; /**< of the process */
     std::uint64_t m_invalidConfigurations = 0;
--- a/modules/plankledge_policy/relay/entry/TargetSelection.h
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.h
@@ -17,7 +17,7 @@
     RouteName m_route;
     Duration m_latencyObjective {};
     std::set<InstanceName> m_tried; /**< instances that are excluded */
-    Time m_now {};
+    Time m_now {};                  /**< to which the expected waits refer */
 };
 
 /**
--- a/modules/plankledge_policy/relay/gate/LocalTarget.h
+++ b/modules/plankledge_policy/relay/gate/LocalTarget.h
@@ -13,9 +13,9 @@
 /**
     The announced state of the target that runs on the same instance as this node.
 
-    A target that has stated that it is leaving gets no new work for the rest of that incarnation, and a node
-   that has just started accepts none before the first announcement. Announcements may arrive late, out of
-   order, and from an incarnation that has ended.
+    A target that has stated that it is leaving gets no new work for the rest of that
+    incarnation, and a node that has just started accepts none before the first announcement.
+    Announcements may arrive late, out of order, and from an incarnation that has ended.
 
     Of two incarnations under one id, the one with the later start is the newer. Within an
     incarnation, announcements are ordered by their sequence number. Start times are compared
