--- a/tests/relay/gate/TargetRateLimit_test.cpp
+++ b/tests/relay/gate/TargetRateLimit_test.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_policy/relay/gate/TargetRateLimit.h"
 #include "support/RateSite.h"
 
+#include <algorithm>
 #include <cmath>
 #include <doctest/doctest.h>
 #include <limits>
@@ -264,6 +265,63 @@
 namespace
 {
 
+/** Targets at the end of a chain that state a rate, and the load as a multiple of what all can do. */
+struct ChainRow
+{
+    std::size_t m_limited;
+    unsigned m_load;
+    double m_minServed; /**< of what can be served */
+    double m_maxFailed; /**< of all: begun and ended with a failure of their target */
+};
+
+const ChainRow chainRows[] = { { 2, 100, 0.99, 0.01 }, { 4, 30, 0.95, 0.03 }, { 4, 60, 0.85, 0.1 } };
+
+} // namespace
+
+TEST_CASE (
+    "where half or all targets at the end of a chain state rates, chains are refused before they begin")
+{
+    constexpr double rate = 10.0;
+
+    for (const auto& row : chainRows)
+    {
+        CAPTURE (row.m_limited);
+        CAPTURE (row.m_load);
+        RateSite site (4, 4);
+        site.addFrontService (3);
+        site.runUnderLoad (seconds (2), row.m_load);
+
+        for (std::size_t index = 0; index < row.m_limited; ++index)
+            site.stateRate (site.targets()[index], rate);
+
+        site.runUnderLoad (seconds (5), row.m_load);
+        const auto since = site.now();
+        const auto tickets = site.runUnderLoad (seconds (20), row.m_load);
+        site.runUnderLoad (seconds (6), 0);
+
+        const bool areAllLimited = row.m_limited == site.targets().size();
+        const auto possible =
+            areAllLimited ? std::min (asNumber (tickets.size()), 4 * rate * 20.0) : asNumber (tickets.size());
+        const auto served = asNumber (site.served (tickets));
+        const auto refused = asNumber (
+            static_cast<std::size_t> (std::count_if (tickets.begin(), tickets.end(), [&] (Ticket ticket) {
+                return site.answers().at (ticket).m_result.m_outcome == Outcome::notRun;
+            })));
+        const auto failed = asNumber (tickets.size()) - served - refused;
+        MESSAGE (row.m_limited, " limited, load ", row.m_load, ": served ", served / possible,
+                 " of what is possible, failed ", failed / asNumber (tickets.size()));
+        CHECK (served >= row.m_minServed * possible);
+        CHECK (failed <= row.m_maxFailed * asNumber (tickets.size()));
+
+        for (std::size_t index = 0; index < row.m_limited; ++index)
+            CHECK (asNumber (site.maxArrivals (site.targets()[index], since)) <= allowedInWindow (rate));
+    }
+}
+
+//==============================================================================
+namespace
+{
+
 struct GateFaultRow
 {
     const char* m_name;
--- a/tests/support/RateSite.cpp
+++ b/tests/support/RateSite.cpp
@@ -13,6 +13,7 @@
 constexpr Duration startupTime = std::chrono::seconds (2);
 constexpr std::array<const char*, 3> zones { "zone-a", "zone-b", "zone-c" };
 constexpr std::uint16_t serviceUnavailable = 503;
+constexpr std::uint16_t serverError = 500;
 
 Route withPriority (Route route, std::uint32_t priority)
 {
@@ -73,6 +74,39 @@
     announce (instance);
 }
 
+void RateSite::addFrontService (unsigned targets)
+{
+    for (unsigned index = 0; index < targets; ++index)
+    {
+        const auto name = "front-" + std::to_string (index);
+        add (name, "front", zones[index % zones.size()]);
+        setTarget (name, [this] (RelayRig&, const InstanceName& instance, const RelayToTarget& dispatch) {
+            const auto call = send (instance, dispatch.m_content.m_id + ".1", std::string (urgentPath) + "x");
+            m_pendingCalls.push_back ({ instance, dispatch.m_call, call });
+        });
+    }
+
+    m_hasFrontService = true;
+    publish (makeTable (2, { withPriority (makeRoute ("urgent", "plans"), 0),
+                             withPriority (makeRoute ("front", "front"), 0) }));
+    run (startupTime);
+}
+
+void RateSite::finishCalls()
+{
+    std::erase_if (m_pendingCalls, [this] (const PendingCall& pending) {
+        const auto answer = answers().find (pending.m_call);
+
+        if (answer == answers().end())
+            return false;
+
+        const bool isServed = answer->second.m_result.m_outcome == Outcome::completed;
+        reply (pending.m_instance, pending.m_request, TargetReplyKind::answered, latency,
+               isServed ? 200 : serverError);
+        return true;
+    });
+}
+
 std::vector<Ticket> RateSite::runUnderLoad (Duration duration, unsigned perSecond)
 {
     std::vector<Ticket> tickets;
@@ -83,13 +117,15 @@
     {
         for (due += perSecond * std::chrono::duration<double> (step).count(); due >= 1.0; due -= 1.0)
         {
-            const auto path = m_random.below (2) == 0 ? urgentPath : lesserPath;
+            const auto path =
+                m_hasFrontService ? "/front/" : (m_random.below (2) == 0 ? urgentPath : lesserPath);
             const auto& entry = m_entries[m_random.below (m_entries.size())];
             tickets.push_back (send (entry, "r" + std::to_string (++m_sent), std::string (path) + "x"));
             m_paths[tickets.back()] = path;
         }
 
         run (step);
+        finishCalls();
     }
 
     return tickets;
@@ -119,6 +155,7 @@
     return static_cast<std::size_t> (std::count_if (tickets.begin(), tickets.end(), [&] (Ticket ticket) {
         const auto answer = answers().find (ticket);
         return answer != answers().end() && answer->second.m_result.m_outcome == Outcome::completed &&
+               answer->second.m_result.m_answer.m_status < serverError &&
                (pathPrefix.empty() || m_paths.at (ticket) == pathPrefix);
     }));
 }
--- a/tests/support/RateSite.h
+++ b/tests/support/RateSite.h
@@ -43,13 +43,18 @@
     /** Sends requests at a constant rate to random entry nodes, half of them urgent. */
     std::vector<Ticket> runUnderLoad (Duration duration, unsigned perSecond);
 
+    /** Adds a service whose targets make one call to the service of targets() for each request, and from now
+       on sends all load to it. */
+    void addFrontService (unsigned targets);
+
     //==============================================================================
     /** @returns the most requests that reached the target in any window since a point in time */
     std::size_t maxArrivals (const InstanceName& target, Time since) const;
 
     std::size_t arrivals (const InstanceName& target, Time since, Time until) const;
 
-    /** @returns how many of the requests were served; with a prefix, only of those with this path prefix */
+    /** @returns how many of the requests were answered with a success; with a prefix, only of those with this
+     * path prefix */
     std::size_t served (const std::vector<Ticket>& tickets, std::string_view pathPrefix = {}) const;
 
     std::size_t countAnswersWith (const std::vector<Ticket>& tickets, Reason reason) const;
@@ -58,13 +63,24 @@
 
 private:
     //==============================================================================
+    /** A request at a target of the front service that waits for the answer to its call. */
+    struct PendingCall
+    {
+        InstanceName m_instance;
+        CallId m_request = 0;
+        Ticket m_call = 0;
+    };
+
     void onDispatch (const InstanceName& instance, const RelayToTarget& dispatch);
+    void finishCalls();
 
     std::vector<InstanceName> m_targets;
     std::vector<InstanceName> m_entries;
     std::map<InstanceName, TargetCondition> m_conditions;
     std::set<InstanceName> m_rejecting;
     std::map<Ticket, std::string_view> m_paths;
+    std::vector<PendingCall> m_pendingCalls;
+    bool m_hasFrontService = false;
     Random m_random { 11 };
     std::uint64_t m_sent = 0;
 };
