--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -34,6 +34,23 @@
 /** Identifies one incarnation of a target. */
 using TargetId = std::string;
 
+/** The load that a target states in an answer. */
+struct TargetLoad
+{
+    std::uint32_t m_running = 0;                       /**< requests that it is running */
+    std::uint32_t m_waiting = 0;                       /**< requests that it has queued */
+    std::uint32_t m_slots = 0;                         /**< requests that it can run concurrently */
+    std::optional<std::uint16_t> m_workTimePercent {}; /**< how long work takes there at present, relative to
+                                                          the usual time; nullopt: not stated */
+
+    auto operator<=> (const TargetLoad&) const = default;
+
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_running, m_waiting, m_slots, m_workTimePercent);
+    }
+};
+
 /** What a target states about itself in an answer; it holds until the next answer. */
 struct TargetCondition
 {
@@ -41,12 +58,14 @@
                                              nullopt: unlimited */
     bool m_isRateLimitMalformed = false;  /**< a limit was stated that can't be read */
     bool m_isLeaving = false;             /**< it accepts no further work */
+    std::optional<TargetLoad> m_load {};  /**< nullopt: not stated, or it can't be read */
+    bool m_isLoadMalformed = false;       /**< a load was stated that can't be read */
 
     auto operator<=> (const TargetCondition&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_rateLimit, m_isRateLimitMalformed, m_isLeaving);
+        archive (m_rateLimit, m_isRateLimitMalformed, m_isLeaving, m_load, m_isLoadMalformed);
     }
 };
 
@@ -199,6 +218,9 @@
     std::optional<Duration> m_keyValidFor; /**< time from sending within which it must start to run;
                                               nullopt: unbounded */
     std::uint16_t m_effectivePriority = 0; /**< smaller values are run first */
+    std::uint16_t m_retryPriority = 0;     /**< configured priority of the route at which its chain began */
+    bool m_isTolerantChain = false;        /**< that route is latency-tolerant, see
+                                              RelaySettings::m_tolerantObjective */
     bool m_isRetry = false;  /**< it, or a request above it in the chain, has been sent to a target before */
     bool m_isNested = false; /**< call by a target for a request that it is running */
     Duration m_chainAge {};  /**< since the first request of the chain arrived at its entry node */
@@ -217,8 +239,9 @@
     template <class Archive> void serialize (Archive& archive)
     {
         archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_digest,
-                 m_keyValidFor, m_effectivePriority, m_isRetry, m_isNested, m_chainAge, m_timeLeft,
-                 m_maxQueueTime, m_maxQueueTimeOfNewChain, m_sentAt, m_restriction);
+                 m_keyValidFor, m_effectivePriority, m_retryPriority, m_isTolerantChain, m_isRetry,
+                 m_isNested, m_chainAge, m_timeLeft, m_maxQueueTime, m_maxQueueTimeOfNewChain, m_sentAt,
+                 m_restriction);
     }
 };
 
--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -31,7 +31,16 @@
     std::uint64_t m_dispatches = 0;             /**< calls sent to this node's target */
     std::uint64_t m_lostCalls = 0; /**< calls not run, of chains that the target had started to serve */
     std::uint64_t m_redirects = 0; /**< calls sent to another instance, since one did not accept them */
-    std::uint64_t m_rateLimitRedirects = 0;  /**< of these: since the instance's target states a rate limit */
+    std::uint64_t m_rateLimitRedirects = 0; /**< of these: since the instance's target states a rate limit */
+    std::uint64_t m_busyRedirects =
+        0; /**< of the redirects: since the instance would have queued the call too long */
+    std::uint64_t m_overloadedOffers =
+        0; /**< calls refused as overloaded by every instance they were offered to */
+    std::uint64_t m_refusedWithRoom =
+        0; /**< requests not admitted although all services needed had free slots */
+    std::uint64_t m_malformedLoads = 0; /**< answers of the target, whose load can't be read */
+    std::array<std::uint64_t, 3> m_retriesByPriority {}; /**< by priority of the chain's first route; the last
+                                                            element includes all lower priorities */
     std::uint64_t m_crashReports = 0;        /**< reports that the target crashed while running requests */
     std::uint64_t m_crashesWithdrawn = 0;    /**< reports withdrawn, since the target was still running */
     std::uint64_t m_acquittals = 0;          /**< suspected requests that the target completed */
--- a/modules/plankledge_policy/relay/RelaySettings.h
+++ b/modules/plankledge_policy/relay/RelaySettings.h
@@ -28,7 +28,10 @@
     double m_limitOverage = 0.1;     /**< fraction by which a limit may be exceeded in a window */
     std::uint32_t m_limitSlack = 20; /**< requests allowed beyond the overage, over all nodes in a window */
     LimitSharing m_limitSharing = LimitSharing::homes;
-    bool m_isFirstStart = false; /**< first start of the whole cluster: the store holds no members yet */
+    Duration m_tolerantObjective {}; /**< routes with at least this latency objective are latency-tolerant:
+                                        their requests can wait for a slot, or be offered to another target,
+                                        for some tens of milliseconds; 0: none are */
+    bool m_isFirstStart = false;     /**< first start of the whole cluster: the store holds no members yet */
 
     auto operator<=> (const RelaySettings&) const = default;
 
@@ -36,7 +39,13 @@
     {
         archive (m_retryRatio, m_retrySlack, m_retryWindow, m_stopGrace, m_announcementPeriod,
                  m_revocationBound, m_limitWindow, m_limitOverage, m_limitSlack, m_limitSharing,
-                 m_isFirstStart);
+                 m_tolerantObjective, m_isFirstStart);
+    }
+
+    /** @returns whether a route with this latency objective is latency-tolerant */
+    bool isTolerant (Duration latencyObjective) const noexcept
+    {
+        return m_tolerantObjective > Duration::zero() && latencyObjective >= m_tolerantObjective;
     }
 };
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -43,7 +43,8 @@
 
 //==============================================================================
 RelayEntry::RelayEntry (const RelaySettings& settings, const Member& self, Dependencies dependencies)
-    : m_self (self)
+    : m_settings (settings)
+    , m_self (self)
     , m_dependencies (std::move (dependencies))
     , m_retries (settings, { m_dependencies.m_routes, m_dependencies.m_peers, m_dependencies.m_calls })
 {
@@ -99,6 +100,8 @@
     request.m_route.m_priority = routes.priorityOf (route, organisation);
     request.m_service = m_serviceSelector.next (route);
     request.m_effectivePriority = static_cast<std::uint16_t> (request.m_route.m_priority);
+    request.m_retryPriority = request.m_effectivePriority;
+    request.m_isTolerantChain = m_settings.isTolerant (route.m_latencyObjective);
     request.m_receivedAt = turn.now();
     request.m_chainStartedAt = turn.now();
 
@@ -138,6 +141,8 @@
     const auto& parent = running.m_request;
     request.m_isNested = true;
     request.m_effectivePriority = parent.m_effectivePriority;
+    request.m_retryPriority = parent.m_retryPriority;
+    request.m_isTolerantChain = parent.m_isTolerantChain;
     request.m_hasRetriedAncestor = parent.m_isRetry;
     request.m_chainStartedAt = running.m_chainStartedAt;
     request.m_completedCalls = running.m_completedCalls;
@@ -284,6 +289,8 @@
         message.m_keyValidFor = *request.m_keyValidUntil - now;
 
     message.m_effectivePriority = request.m_effectivePriority;
+    message.m_retryPriority = request.m_retryPriority;
+    message.m_isTolerantChain = request.m_isTolerantChain;
     message.m_isRetry = request.m_hasRetriedAncestor || request.m_attempts > 0;
     message.m_isNested = request.m_isNested;
     message.m_chainAge = now - request.m_chainStartedAt;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -119,6 +119,7 @@
     static Duration spreadRetryAfter (Turn& turn, Duration wait);
     bool isStopping() const noexcept { return m_stoppedAt.has_value(); }
 
+    const RelaySettings m_settings;
     const Member m_self;
     Dependencies m_dependencies;
     EntryAdmission m_admission;
