Target selection of latency-tolerant chains: smallest zone penalty, share of used slots

Callers would see: requests of latency-tolerant routes reach free slots in other zones after a wait of 50 ms in the own zone instead of 400 ms (objective 2 s).

Cause: the zone penalty grows with the latency objective, and targets without a queue were chosen at random, up to their limits. The penalty of a target that sheds grows with the objective too: at 2 s, a difference of 0.1 in the admission levels outweighs zone, used slots and jitter together, so that all entries send to the target with the highest level until it sheds more than the others.

Change: for latency-tolerant chains, the zone penalty is 50 ms, a penalty of 25 ms x share of the used slots is added, and the penalty of a target that sheds is 100 ms x the share that it sheds, so that half equals the zone penalty.

A weight of 0 would keep requests at a target that sheds most of its load.

--- a/modules/plankledge_policy/relay/entry/TargetSelection.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.cpp
@@ -15,6 +15,17 @@
 /** The penalty of a target in another zone is the latency objective divided by this. */
 constexpr int zonePenaltyDivisor = 5;
 
+/** Penalty of a target for a latency-tolerant chain if all its slots are used; proportional to their share.
+    Half of the smallest penalty of another zone, so that it does not by itself send requests there. Targets
+    near their limit are filled last, because they slow down when nearly full (from 0.95 of the slots). */
+constexpr Duration usedSlotsPenalty = Milliseconds (25);
+
+/** Penalty of a target for a latency-tolerant chain if it sheds all requests; proportional to the share that
+    it sheds. A target that sheds half of its load is as costly as one in another zone. The penalty of other
+    requests, which grows with the objective, would outweigh the shares of used slots: all entries would send
+    to the target that sheds the least until it sheds more than the others. */
+constexpr Duration tolerantShedPenalty = 2 * minZonePenalty;
+
 /** Weight of the expected queueing time relative to the service time. */
 constexpr int queueTimeWeight = 4;
 
@@ -41,18 +52,38 @@
     return Duration (static_cast<Duration::rep> (static_cast<double> (duration.count()) * factor));
 }
 
+/** For latency-tolerant chains the penalty does not depend on the objective: the round trip takes 1 to 2 ms,
+    whereas a fifth of an objective of 2 s (400 ms) would leave slots in other zones unused. */
+Duration zonePenalty (const TargetCriteria& criteria) noexcept
+{
+    return criteria.m_isTolerantChain
+               ? minZonePenalty
+               : std::max (minZonePenalty, criteria.m_latencyObjective / zonePenaltyDivisor);
+}
+
+/** Spreads requests over targets without an expected queue; with a queue, the expected wait decides. */
+Duration occupancyPenalty (const Peer& peer, const TargetCriteria& criteria) noexcept
+{
+    if (! criteria.m_isTolerantChain)
+        return {};
+
+    const auto slots = std::max (1U, peer.m_gate.m_limit);
+    return scaled (usedSlotsPenalty, std::min (1.0, static_cast<double> (peer.load()) / slots));
+}
+
 Duration penaltyOf (const Peer& peer, const TargetCriteria& criteria) noexcept
 {
     // Requests that are shed at entry nodes never show in the queue of the gate. Without this term, a target
     // that sheds much of its load would be preferred to an idle one in another zone.
     const auto shedPermille = permille - peer.m_gate.m_admittedPermille;
-    const auto penalty =
-        scaled (criteria.m_latencyObjective, (peer.m_gate.m_failurePermille + shedPermille) / permille);
+    const auto shedPenalty = criteria.m_isTolerantChain ? tolerantShedPenalty : criteria.m_latencyObjective;
+    const auto penalty = scaled (criteria.m_latencyObjective, peer.m_gate.m_failurePermille / permille) +
+                         scaled (shedPenalty, shedPermille / permille) + occupancyPenalty (peer, criteria);
 
     if (peer.m_member.m_zone == criteria.m_zone)
         return penalty;
 
-    return penalty + std::max (minZonePenalty, criteria.m_latencyObjective / zonePenaltyDivisor);
+    return penalty + zonePenalty (criteria);
 }
 
 Duration expectedTime (const Peer& peer, const TargetCriteria& criteria) noexcept
--- a/modules/plankledge_policy/relay/entry/TargetSelection.h
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.h
@@ -18,6 +18,7 @@
     Duration m_latencyObjective {};
     std::set<InstanceName> m_tried; /**< instances that are excluded */
     Time m_now {};                  /**< to which the expected waits refer */
+    bool m_isTolerantChain = false; /**< see RelaySettings::m_tolerantObjective */
 };
 
 /**
@@ -30,6 +31,9 @@
     all select the same target. A small fraction of requests probes a random target, so
     that the service times of all targets stay known.
 
+    For latency-tolerant chains, the penalty of another availability zone is the smallest
+    one, and targets that use a smaller share of their slots are preferred.
+
     @param candidates   nodes that accept work
     @returns the selected node, or nullptr if all were tried
 */
--- a/tests/relay/entry/TargetSelection_test.cpp
+++ b/tests/relay/entry/TargetSelection_test.cpp
@@ -125,6 +125,87 @@
     }
 }
 
+namespace
+{
+
+/** Selections of a latency-tolerant chain and of another one with the same objective. */
+struct TolerantRow
+{
+    const char* m_name;
+    std::vector<Candidate> m_candidates;
+    const char* m_tolerant;
+    const char* m_other;
+};
+
+const TolerantRow tolerantRows[] = {
+    { "another zone, if the own target has a wait of a thirtieth of the objective",
+      { { "own", "a", 60, 30, 0 }, { "far", "b", 5, 30, 0 } },
+      "far",
+      "own" },
+    { "the own zone, although its target is nearly full",
+      { { "own", "a", 18, 30, 0 }, { "far", "b", 0, 30, 0 } },
+      "own",
+      "own" },
+    { "the own zone, if both have the same wait",
+      { { "own", "a", 60, 30, 0 }, { "far", "b", 60, 30, 0 } },
+      "own",
+      "own" },
+    // Otherwise all entries would send to the target that sheds the least until it sheds more than the
+    // others.
+    { "the own zone, although its target sheds a quarter",
+      { { "own", "a", 0, 30, 0, 250 }, { "far", "b", 0, 30, 0 } },
+      "own",
+      "far" },
+    { "another zone, if the own target sheds most of its load",
+      { { "own", "a", 0, 30, 0, 800 }, { "far", "b", 0, 30, 0 } },
+      "far",
+      "far" },
+};
+
+/** @returns how often each target is selected in zone a, for an objective of 2 s */
+std::map<std::string, int> countSelections (const std::vector<Candidate>& candidates, bool isTolerant)
+{
+    const auto peers = makePeers (candidates);
+    Random random (7);
+    std::map<std::string, int> counts;
+
+    for (int index = 0; index < 1000; ++index)
+        ++counts[selectTarget (pointersTo (peers), { "a", "route", Milliseconds (2000), {}, {}, isTolerant },
+                               random)
+                     ->m_member.m_id.m_instance];
+
+    return counts;
+}
+
+} // namespace
+
+// Guards against unused slots in another zone: with a penalty of a fifth of the objective, a wait of 100 ms
+// in the own zone is accepted although slots are free elsewhere.
+TEST_CASE ("a latency-tolerant chain leaves the zone for a wait above the smallest zone penalty")
+{
+    for (const auto& row : tolerantRows)
+    {
+        CAPTURE (row.m_name);
+        CHECK (countSelections (row.m_candidates, true)[row.m_tolerant] > 900);
+        CHECK (countSelections (row.m_candidates, false)[row.m_other] > 900);
+    }
+}
+
+// Guards against targets that are filled up to their limit, where they slow down, while others are empty.
+TEST_CASE ("a latency-tolerant chain prefers the targets with the smaller share of used slots")
+{
+    const std::vector<Candidate> candidates { { "empty", "a", 0, 30, 0 }, { "full", "a", 19, 30, 0 } };
+    auto tolerant = countSelections (candidates, true);
+    auto other = countSelections (candidates, false);
+    MESSAGE ("selected of 1000, tolerant: empty ", tolerant["empty"], ", nearly full ", tolerant["full"],
+             "; other: empty ", other["empty"], ", nearly full ", other["full"]);
+
+    // The penalty (24 ms) exceeds nearly all of the jitter (10 % of 258 ms); the others choose at random.
+    CHECK (tolerant["empty"] > 900);
+    CHECK (other["full"] > 300);
+    CHECK (other["full"] < 700);
+}
+
 TEST_CASE ("a target that was tried is not selected again, and every target of the zone is probed at times")
 {
     const auto peers = makePeers ({ { "fast", "a", 0, 20, 0 }, { "slow", "a", 0, 400, 0 } });
