OfferPolicy: requests of latency-tolerant chains use free slots at other targets

Callers would see: a request of a latency-tolerant route that meets a busy target is run by another one with free slots, where it was refused with 503 before.

Cause: entries hold the same information about targets, older than a round trip, and send to the same one. An overloaded gate ended the request, since its target was taken to be the best one.

Change: OfferPolicy sets the queueing time of each offer (50 ms while another eligible target is known to have free slots) and decides on redirects, at most 2 a request. Before the last offer, and if no other target is left, those that refused a short offer become eligible again. A full queue (queueFull) is treated like overloaded, since the gate checks it first. Metrics busy_redirects_total and overloaded_offers_total; a sampled log line.

Not run: the other tests, the promise tests and the soak.

Known limit: gates count each refused offer as demand, so that redirects lower the admission levels.

--- a/modules/plankledge_policy/relay/entry/EntryLog.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryLog.cpp
@@ -60,6 +60,17 @@
              { { "reason", std::string (nameOf (reason)) }, { "arrivals", number (request.m_attempts) } } };
 }
 
+LogDecision logBusyRedirect (const EntryRequest& request, const Peer& peer)
+{
+    return { Decision::requestSentAgain,
+             request.m_content.m_id,
+             { { "reason", std::string (nameOf (request.m_lastReason)) },
+               { "arrivals", number (request.m_attempts) },
+               { "redirects", number (request.m_busyRedirects) },
+               { "peer", peer.m_member.m_id.m_instance },
+               { "tried", joinTried (request) } } };
+}
+
 LogDecision logCancelled (const EntryRequest& request, Time now)
 {
     return { Decision::requestCancelled,
--- a/modules/plankledge_policy/relay/entry/EntryLog.h
+++ b/modules/plankledge_policy/relay/entry/EntryLog.h
@@ -13,6 +13,7 @@
                                      ConfigurationVersion version);
 LogDecision logSent (const EntryRequest& request, const Peer& peer, ConfigurationVersion version, Time now);
 LogDecision logRetry (const EntryRequest& request, Reason reason);
+LogDecision logBusyRedirect (const EntryRequest& request, const Peer& peer);
 LogDecision logCancelled (const EntryRequest& request, Time now);
 LogDecision logGivenUp (const EntryRequest& request, Outcome outcome, Reason reason, Time now);
 LogDecision logAnswered (const EntryRequest& request, std::uint16_t status, Time now);
--- a/modules/plankledge_policy/relay/entry/EntryRequest.h
+++ b/modules/plankledge_policy/relay/entry/EntryRequest.h
@@ -41,6 +41,9 @@
     CallId m_call = 0;                    /**< of the current attempt; 0 if there is none */
     bool m_isQueued = false;              /**< at the entry node, until a target is available */
     Reason m_lastReason = Reason::noReachableInstance;
+    std::uint32_t m_busyRedirects = 0;    /**< redirects since a gate would have queued it too long */
+    std::set<InstanceName> m_shortOffers; /**< instances that were offered it with a short queueing time */
+    bool m_isFullOfferDue = false;        /**< further offers have the full queueing time */
     Duration m_rateLimitWait {}; /**< shortest time until a target that refused it because of its rate limit
                                     could run it; 0: none did */
 };
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -46,6 +46,7 @@
     : m_settings (settings)
     , m_self (self)
     , m_dependencies (std::move (dependencies))
+    , m_offers ({ m_dependencies.m_peers, m_dependencies.m_crashes })
     , m_retries (settings, { m_dependencies.m_routes, m_dependencies.m_peers, m_dependencies.m_calls })
 {
 }
@@ -229,7 +230,7 @@
 //==============================================================================
 void RelayEntry::send (Turn& turn, CallId id)
 {
-    const auto& request = m_requests.at (id);
+    auto& request = m_requests.at (id);
     const auto crashes = m_dependencies.m_crashes.holdStatus (request.m_digest, turn.now());
 
     // Too many targets have crashed while they ran the same request, which fails all requests running there.
@@ -244,8 +245,10 @@
     sendTo (turn, id, *peer);
 }
 
-const Peer* RelayEntry::selectPeer (Turn& turn, const Request& request, HoldState holdState) const
+const Peer* RelayEntry::selectPeer (Turn& turn, Request& request, HoldState holdState) const
 {
+    m_offers.readmitIfAllTried (request);
+
     if (holdState == HoldState::onTrial)
     {
         const auto* peer = m_dependencies.m_crashes.trialNode (request.m_service, request.m_digest);
@@ -254,8 +257,10 @@
         return isEligible ? peer : nullptr;
     }
 
-    const TargetCriteria criteria { m_self.m_zone, request.m_route.m_name, request.m_route.m_latencyObjective,
-                                    request.m_tried, turn.now() };
+    const TargetCriteria criteria {
+        m_self.m_zone, request.m_route.m_name,   request.m_route.m_latencyObjective, request.m_tried,
+        turn.now(),    request.m_isTolerantChain
+    };
     return selectTarget (m_dependencies.m_peers.acceptingRequests (request.m_service), criteria,
                          turn.random());
 }
@@ -295,7 +300,7 @@
     message.m_isNested = request.m_isNested;
     message.m_chainAge = now - request.m_chainStartedAt;
     message.m_timeLeft = request.m_deadline - now;
-    message.m_maxQueueTime = std::max (Duration::zero(), Duration (request.m_queueDeadline - now));
+    message.m_maxQueueTime = m_offers.offer (request, peer, now);
     message.m_maxQueueTimeOfNewChain = std::min (message.m_maxQueueTime, request.m_maxQueueTimeOfNewChain);
     message.m_sentAt = now.time_since_epoch();
     message.m_restriction = m_dependencies.m_peers.restrictions().find (instance);
@@ -512,13 +517,13 @@
         return send (turn, id);
     }
 
-    // The selected target had the shortest expected queueing time, and all gates withhold the same crashing
-    // requests:
-    // other targets would refuse the request as well.
-    if (result.m_reason == Reason::overloaded || result.m_reason == Reason::queueFull ||
-        result.m_reason == Reason::crashesTargets)
+    // All gates withhold the same crashing requests: other targets would refuse the request as well.
+    if (result.m_reason == Reason::crashesTargets)
         return giveUp (turn, id, result.m_reason);
 
+    if (result.m_reason == Reason::overloaded || result.m_reason == Reason::queueFull)
+        return onOverloaded (turn, id, result.m_reason);
+
     if (result.m_reason == Reason::targetRateLimit)
         return onRateLimited (turn, id, result);
 
@@ -526,6 +531,20 @@
     send (turn, id);
 }
 
+/** Offers a request that a gate refused for lack of slots to another target, or ends it at once. */
+void RelayEntry::onOverloaded (Turn& turn, CallId id, Reason reason)
+{
+    auto& request = m_requests.at (id);
+    const auto* peer = m_offers.prepareRedirect (request, turn.now())
+                           ? selectPeer (turn, request, HoldState::clear)
+                           : nullptr;
+
+    if (! m_offers.tryRedirect (turn, request, peer))
+        return giveUp (turn, id, reason);
+
+    sendTo (turn, id, *peer);
+}
+
 /** Sends a request to another target that is expected to run it in time, or ends it at once. */
 void RelayEntry::onRateLimited (Turn& turn, CallId id, const RelayResult& result)
 {
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -5,6 +5,7 @@
 #include "plankledge_policy/relay/access/KeyGuard.h"
 #include "plankledge_policy/relay/entry/EntryAdmission.h"
 #include "plankledge_policy/relay/entry/EntryRequest.h"
+#include "plankledge_policy/relay/entry/OfferPolicy.h"
 #include "plankledge_policy/relay/entry/RetryPolicy.h"
 #include "plankledge_policy/relay/entry/WeightedServiceSelector.h"
 #include "plankledge_policy/relay/gate/TargetGate.h"
@@ -25,12 +26,12 @@
     and from its target, forwards each to a target and returns the answer.
 
     If the gate of the selected target is closed, the request is redirected to another target
-    at no cost. If the gate is overloaded, the request fails, since the selected target had
-    the shortest expected queueing time. Retries that may reach a target are limited by a
-    RetryPolicy, and are made only if the earlier attempts are known not to have run or the
-    route is repeatable. Requests that fail are answered at once.
+    at no cost. If the gate is overloaded, an OfferPolicy may redirect the request; otherwise it
+    fails, since the selected target had the shortest expected queueing time. Retries that may
+    reach a target are limited by a RetryPolicy, and are made only if the earlier attempts are
+    known not to have run or the route is repeatable. Requests that fail are answered at once.
 
-    @see TargetGate, EntryAdmission, RetryPolicy
+    @see TargetGate, EntryAdmission, OfferPolicy, RetryPolicy
 */
 class RelayEntry
 {
@@ -100,12 +101,13 @@
 
     std::vector<CallId> requestsAt (const InstanceName& instance) const;
     void send (Turn& turn, CallId id);
-    const Peer* selectPeer (Turn& turn, const Request& request, HoldState holdState) const;
+    const Peer* selectPeer (Turn& turn, Request& request, HoldState holdState) const;
     void sendTo (Turn& turn, CallId id, const Peer& peer);
     void enqueue (Turn& turn, CallId id);
     void clearAttempt (Request& request);
     void cancelAttempt (Turn& turn, Request& request);
     void onAttemptFailed (Turn& turn, CallId id, const RelayResult& result);
+    void onOverloaded (Turn& turn, CallId id, Reason reason);
     void onRateLimited (Turn& turn, CallId id, const RelayResult& result);
 
     /** Ends a request without an answer of its target.
@@ -123,6 +125,7 @@
     const Member m_self;
     Dependencies m_dependencies;
     EntryAdmission m_admission;
+    OfferPolicy m_offers;
     RetryPolicy m_retries;
     std::map<CallId, Request> m_requests;
     std::map<Ticket, CallId> m_requestsByTicket;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -77,6 +77,8 @@
     appendCounter (text, "lost_calls_total", counters.m_lostCalls);
     appendCounter (text, "redirects_total", counters.m_redirects);
     appendCounter (text, "rate_limit_redirects_total", counters.m_rateLimitRedirects);
+    appendCounter (text, "busy_redirects_total", counters.m_busyRedirects);
+    appendCounter (text, "overloaded_offers_total", counters.m_overloadedOffers);
     appendCounter (text, "crash_reports_total", counters.m_crashReports);
     appendCounter (text, "crashes_withdrawn_total", counters.m_crashesWithdrawn);
     appendCounter (text, "malformed_rate_limits_total", counters.m_malformedRateLimits);
