Candidates of latency-tolerant chains are drawn at random by the rate of their targets

Cause: entry nodes that hold the same status of all targets select the same one until its next status arrives. In one period of 300 ms some gates of a service were asked for three times their capacity and others for nothing, so that their admission levels fell and requests were refused beside free slots. A short offer that is refused for lack of free slots does not count as demand at that gate, since it is demand at the next.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -217,6 +217,8 @@
     ContentDigest m_digest = 0;            /**< see computeContentDigest() */
     std::optional<Duration> m_keyValidFor; /**< time from sending within which it must start to run;
                                               nullopt: unbounded */
+    bool m_isShortOffer = false; /**< if it is refused for lack of free slots, the sender offers it to
+                                    another target */
     std::uint16_t m_effectivePriority = 0; /**< smaller values are run first */
     std::uint16_t m_retryPriority = 0;     /**< configured priority of the route at which its chain began */
     bool m_isTolerantChain = false;        /**< that route is latency-tolerant, see
@@ -239,9 +241,9 @@
     template <class Archive> void serialize (Archive& archive)
     {
         archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_digest,
-                 m_keyValidFor, m_effectivePriority, m_retryPriority, m_isTolerantChain, m_isRetry,
-                 m_isNested, m_chainAge, m_timeLeft, m_maxQueueTime, m_maxQueueTimeOfNewChain, m_sentAt,
-                 m_restriction);
+                 m_keyValidFor, m_isShortOffer, m_effectivePriority, m_retryPriority, m_isTolerantChain,
+                 m_isRetry, m_isNested, m_chainAge, m_timeLeft, m_maxQueueTime, m_maxQueueTimeOfNewChain,
+                 m_sentAt, m_restriction);
     }
 };
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -4,6 +4,7 @@
 
 #include "plankledge_core/ContentDigest.h"
 #include "plankledge_policy/relay/RequestIds.h"
+#include "plankledge_policy/relay/entry/CandidateSampling.h"
 #include "plankledge_policy/relay/entry/TargetSelection.h"
 
 #include <algorithm>
@@ -261,8 +262,10 @@
         m_self.m_zone, request.m_route.m_name,   request.m_route.m_latencyObjective, request.m_tried,
         turn.now(),    request.m_isTolerantChain
     };
-    return selectTarget (m_dependencies.m_peers.acceptingRequests (request.m_service), criteria,
-                         turn.random());
+    const auto candidates = m_dependencies.m_peers.acceptingRequests (request.m_service);
+    return selectTarget (request.m_isTolerantChain ? sampleCandidates (candidates, criteria, turn.random())
+                                                   : candidates,
+                         criteria, turn.random());
 }
 
 void RelayEntry::sendTo (Turn& turn, CallId id, const Peer& peer)
@@ -301,6 +304,7 @@
     message.m_chainAge = now - request.m_chainStartedAt;
     message.m_timeLeft = request.m_deadline - now;
     message.m_maxQueueTime = m_offers.offer (request, peer, now);
+    message.m_isShortOffer = request.m_shortOffers.contains (instance);
     message.m_maxQueueTimeOfNewChain = std::min (message.m_maxQueueTime, request.m_maxQueueTimeOfNewChain);
     message.m_sentAt = now.time_since_epoch();
     message.m_restriction = m_dependencies.m_peers.restrictions().find (instance);
--- a/modules/plankledge_policy/relay/entry/TargetSelection.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.cpp
@@ -33,6 +33,10 @@
    another zone for an even faster target. */
 constexpr int fastEnoughDivisor = 8;
 
+/** The same for latency-tolerant chains. Their candidates are drawn by the rate of their targets, so that a
+    further preference for the fastest would send these more than they can run. */
+constexpr int tolerantFastEnoughDivisor = 4;
+
 /** Service times are also added divided by this, to prefer the faster of several fast targets. */
 constexpr int speedPreferenceDivisor = 4;
 
@@ -89,9 +93,13 @@
 Duration expectedTime (const Peer& peer, const TargetCriteria& criteria) noexcept
 {
     const auto serviceTime = peer.routeTimeOf (criteria.m_route);
+    const auto queueTime = peer.expectedQueueTime (criteria.m_route, criteria.m_now) * queueTimeWeight;
+
+    if (criteria.m_isTolerantChain)
+        return std::max (serviceTime, criteria.m_latencyObjective / tolerantFastEnoughDivisor) + queueTime;
+
     const auto boundedTime = std::max (serviceTime, criteria.m_latencyObjective / fastEnoughDivisor);
-    return boundedTime + serviceTime / speedPreferenceDivisor +
-           peer.expectedQueueTime (criteria.m_route, criteria.m_now) * queueTimeWeight;
+    return boundedTime + serviceTime / speedPreferenceDivisor + queueTime;
 }
 
 /** @returns a random target of the own zone that has free slots and rarely fails, or nullptr */
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -71,13 +71,21 @@
 {
     const auto id = m_nextCallId++;
     auto call = makeCall (turn, caller, std::move (request));
-    m_requestedWork += call.m_slotTime;
-    ++m_requestedCalls;
 
     if (call.m_request.m_restriction.has_value())
         onRestrictionReported (turn, *call.m_request.m_restriction);
 
-    if (const auto reason = refusalReason (turn, id, call); reason != Reason::none)
+    const auto reason = refusalReason (turn, id, call);
+
+    // A request that is offered elsewhere next is demand there. Counted at each gate, it would lower the
+    // admission level although the service has free slots.
+    if (! call.m_request.m_isShortOffer || (reason != Reason::overloaded && reason != Reason::queueFull))
+    {
+        m_requestedWork += call.m_slotTime;
+        ++m_requestedCalls;
+    }
+
+    if (reason != Reason::none)
     {
         const detail::GateOccupancy occupancy { m_running, m_queue.size(), limit(),
                                                 std::max (expectedSlotWait (id, call),
