Admission of latency-tolerant routes by the demand for a service as a whole

Callers of latency-tolerant routes would see fewer 503 (overloaded-downstream) while one target of a service is full and the others have free slots, and in the seconds after a burst.

Cause: an entry refuses requests by the mean admission level of the gates. A full target lowers the mean although other targets are empty, and after a burst the levels take some seconds to rise.

Change: the new class ServiceRoom estimates the demand at each open gate (slots in use / level, plus queued requests; an outdated status counts as full) and from it the level of the service, which is at least the mean. EntryAdmission uses it for tolerant routes. The mean costs that requests are compared with are still learned by the service with the lowest mean level, so that tolerant requests do not change what is decided on others. Refusals while every service needed has a tenth of its slots free are counted (refused_with_room_total), and the log line of a refusal has the field room.

The limits in the estimate are Peer::sustainableConcurrency() throughout, so that a rate-limited gate counts only the slots that its rate can fill. The estimate is too high where most requests at a full gate have high priority, since its level is then lower than the share that it admits; the mean applies in this case.

--- a/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace plankledge
 {
@@ -45,29 +46,55 @@
     return reportingPeers > 0.0 ? sum / reportingPeers : 0.0;
 }
 
+/** @returns the expected slot time of a request at a service, its nested calls included, in microseconds */
+double costAt (const ServiceName& service, const EntryAdmission::Applicant& applicant,
+               const CallGraph::Calls& calls, const PeerTable& peers)
+{
+    auto cost =
+        service == applicant.m_service ? meanServiceTime (service, applicant.m_route.m_name, peers) : 0.0;
+
+    for (const auto& [callee, count] : calls)
+        if (callee.first == service)
+            cost += count * meanServiceTime (service, callee.second, peers);
+
+    return cost;
+}
+
 } // namespace
 
 //==============================================================================
-EntryAdmission::AdmissionDecision EntryAdmission::decide (const Route& route, const ServiceName& service,
-                                                          Duration timeout, const RouteTable& routes,
-                                                          const PeerTable& peers, CallGraph& calls,
-                                                          Random& random)
+EntryAdmission::AdmissionDecision EntryAdmission::decide (const Applicant& applicant,
+                                                          const RouteTable& routes, const PeerTable& peers,
+                                                          CallGraph& calls, Random& random)
 {
     constexpr std::uint64_t cohorts = 1000;
+    const auto& route = applicant.m_route;
+    const auto& demand = calls.demandOf (route.m_name);
     const auto& callees = calls.callsOf (route.m_name);
-    const auto bottleneck = findBottleneck (service, calls.demandOf (route.m_name), peers);
+    const auto rooms = roomsOf (applicant, demand, peers);
+    auto bottleneck = findBottleneck (rooms, &ServiceRoom::meanLevel);
+    auto cost = costAt (bottleneck.m_service, applicant, callees, peers);
+    updateMeanCost (applicant, bottleneck, cost);
+
+    if (applicant.m_isTolerant)
+    {
+        const auto meanBottleneck = std::exchange (bottleneck, findBottleneck (rooms, &ServiceRoom::level));
+
+        if (bottleneck.m_service != meanBottleneck.m_service)
+            cost = costAt (bottleneck.m_service, applicant, callees, peers);
+    }
+
     const auto cohort = static_cast<double> (random.below (cohorts)) / cohorts;
-    const bool isRetry = isClientRetry (route.m_name, timeout);
+    const bool isRetry = isClientRetry (route.m_name, applicant.m_timeout);
     const auto priority = priorityOf (route, routes, isRetry, random);
     const auto cohortRank = isRetry ? (1.0 + cohort) / 2.0 : cohort / 2.0;
-    const auto rankInPriority =
-        1.0 - std::pow (1.0 - cohortRank, relativeCost (route, service, bottleneck, callees, peers));
+    const auto rankInPriority = 1.0 - std::pow (1.0 - cohortRank, relativeCost (applicant, bottleneck, cost));
     const auto shedRank = routes.shedRankOfPriority (priority) + rankInPriority * routes.shedRankWidth();
 
-    if (shedRank >= bottleneck.m_level)
-        return { Refusal { bottleneck.m_service, shedRank, bottleneck.m_level }, priority };
+    if (shedRank < bottleneck.m_level)
+        return { std::nullopt, priority };
 
-    return { std::nullopt, priority };
+    return { Refusal { bottleneck.m_service, shedRank, bottleneck.m_level, smallestRoom (rooms) }, priority };
 }
 
 std::uint32_t EntryAdmission::priorityOf (const Route& route, const RouteTable& routes, bool isClientRetry,
@@ -79,50 +106,63 @@
     return std::min (route.m_priority, routes.highestPriority());
 }
 
-EntryAdmission::Bottleneck EntryAdmission::findBottleneck (const ServiceName& service,
-                                                           const CallGraph::Demand& demand,
-                                                           const PeerTable& peers) noexcept
+/** @returns the services that a request needs, its own service first */
+EntryAdmission::Rooms EntryAdmission::roomsOf (const Applicant& applicant, const CallGraph::Demand& demand,
+                                               const PeerTable& peers)
 {
-    Bottleneck result { service, admissionLevelOf (service, peers) };
+    const auto roomOf = [&] (const ServiceName& service) {
+        return ServiceRoom (peers.acceptingRequests (service), applicant.m_now);
+    };
+
+    Rooms rooms { { applicant.m_service, roomOf (applicant.m_service) } };
 
     for (const auto& [callee, count] : demand)
-        if (const auto level = admissionLevelOf (callee, peers); level < result.m_level)
-            result = { callee, level };
+        rooms.emplace_back (callee, roomOf (callee));
+
+    return rooms;
+}
+
+EntryAdmission::Bottleneck EntryAdmission::findBottleneck (const Rooms& rooms, LevelOf levelOf)
+{
+    Bottleneck result { rooms.front().first, (rooms.front().second.*levelOf)() };
+
+    for (const auto& [service, room] : rooms)
+        if (const auto level = (room.*levelOf)(); level < result.m_level)
+            result = { service, level };
 
     return result;
 }
 
-/** @returns the cost of a request at the bottleneck service, relative to the mean cost of its priority there;
-    clamped to [1 / maxRelativeCost, maxRelativeCost] */
-double EntryAdmission::relativeCost (const Route& route, const ServiceName& service,
-                                     const Bottleneck& bottleneck, const CallGraph::Calls& calls,
-                                     const PeerTable& peers)
+double EntryAdmission::smallestRoom (const Rooms& rooms) noexcept
 {
-    const auto& bottleneckService = bottleneck.m_service;
-    auto cost = bottleneckService == service ? meanServiceTime (bottleneckService, route.m_name, peers) : 0.0;
+    auto result = 1.0;
 
-    for (const auto& [callee, count] : calls)
-        if (callee.first == bottleneckService)
-            cost += count * meanServiceTime (bottleneckService, callee.second, peers);
+    for (const auto& [service, room] : rooms)
+        result = std::min (result, room.freeShare());
+
+    return result;
+}
 
-    auto& mean = m_meanCosts[{ bottleneckService, route.m_priority }];
+/** Updates the mean cost of the requests of a priority at the service that limits them. For requests of
+    latency-tolerant routes too, this is the service with the lowest mean level, so that they do not change
+    the decisions on other routes. */
+void EntryAdmission::updateMeanCost (const Applicant& applicant, const Bottleneck& bottleneck, double cost)
+{
+    auto& mean = m_meanCosts[{ bottleneck.m_service, applicant.m_route.m_priority }];
     mean += (cost - mean) * (mean > 0.0 ? costSmoothingFactor : 1.0);
-    return mean > 0.0 ? std::clamp (cost / mean, 1.0 / maxRelativeCost, maxRelativeCost) : 1.0;
 }
 
-double EntryAdmission::admissionLevelOf (const ServiceName& service, const PeerTable& peers) noexcept
+/** @returns the cost of a request at the bottleneck service, relative to the mean cost of its priority there;
+    clamped to [1 / maxRelativeCost, maxRelativeCost] */
+double EntryAdmission::relativeCost (const Applicant& applicant, const Bottleneck& bottleneck,
+                                     double cost) const
 {
-    double levels = 0.0;
-    double capacity = 0.0;
+    const auto found = m_meanCosts.find ({ bottleneck.m_service, applicant.m_route.m_priority });
 
-    for (const auto* peer : peers.acceptingRequests (service))
-    {
-        const auto share = peer->sustainableConcurrency();
-        levels += static_cast<double> (peer->m_gate.m_admittedPermille) / 1000.0 * share;
-        capacity += share;
-    }
+    if (found == m_meanCosts.end() || ! (found->second > 0.0))
+        return 1.0;
 
-    return capacity > 0.0 ? levels / capacity : 1.0;
+    return std::clamp (cost / found->second, 1.0 / maxRelativeCost, maxRelativeCost);
 }
 
 bool EntryAdmission::isClientRetry (const RouteName& route, Duration timeout)
--- a/modules/plankledge_policy/relay/entry/EntryAdmission.h
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "plankledge_core/Random.h"
+#include "plankledge_policy/relay/entry/ServiceRoom.h"
 #include "plankledge_policy/relay/peers/PeerTable.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
 #include "plankledge_policy/relay/routes/RouteTable.h"
 
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace plankledge
 {
@@ -18,6 +20,9 @@
     A request depends on its own service and on all services that its nested calls reach.
     It is admitted only if its shed rank is below the admission level of each of them, so
     that no upstream work is wasted on a request that an overloaded service would reject.
+    For latency-tolerant routes this is the level of the service as a whole, since such a
+    request can be placed at any target with a free slot. For other routes it is the mean of
+    the levels of the gates.
 
     The shed rank is a position in [0, 1) of the order in which requests are shed; higher
     ranks are shed first. It is derived from the priority of the route and, within a
@@ -33,12 +38,20 @@
 {
 public:
     //==============================================================================
+    /** A share of free slots from which a refusal counts as one with room. Below it, random variation of the
+        load can fill the slots within the interval between two statuses. */
+    static constexpr double minRoom = 0.1;
+
     /** Why a request was not admitted. */
     struct Refusal
     {
         ServiceName m_service;   /**< the overloaded service */
         double m_shedRank = 0.0; /**< of the request, in [0, 1) */
         double m_level = 0.0;    /**< admission level of the service, in [0, 1] */
+        double m_room = 0.0;     /**< smallest share of free slots of the services that the request needs */
+
+        /** @returns whether every service that the request needs has free slots */
+        bool isWithRoom() const noexcept { return m_room >= minRoom; }
     };
 
     /** Whether a request is admitted, and its effective priority. */
@@ -48,15 +61,18 @@
         std::uint32_t m_priority = 0;     /**< the priority of its route, or a higher one */
     };
 
-    /** @param timeout   the timeout that the caller set for this attempt */
-    AdmissionDecision decide (const Route& route, const ServiceName& service, Duration timeout,
-                              const RouteTable& routes, const PeerTable& peers, CallGraph& calls,
-                              Random& random);
+    /** A new request from a caller. */
+    struct Applicant
+    {
+        const Route& m_route;
+        const ServiceName& m_service;
+        Duration m_timeout {};     /**< that the caller set for this attempt */
+        bool m_isTolerant = false; /**< whether its route is latency-tolerant */
+        Time m_now;
+    };
 
-    /** @returns the mean admission level of the open gates of a service, weighted by their concurrency
-                 limits; 1 if no gate is known
-    */
-    static double admissionLevelOf (const ServiceName& service, const PeerTable& peers) noexcept;
+    AdmissionDecision decide (const Applicant& applicant, const RouteTable& routes, const PeerTable& peers,
+                              CallGraph& calls, Random& random);
 
 private:
     //==============================================================================
@@ -67,10 +83,15 @@
         double m_level = 1.0;
     };
 
-    static Bottleneck findBottleneck (const ServiceName& service, const CallGraph::Demand& demand,
-                                      const PeerTable& peers) noexcept;
-    double relativeCost (const Route& route, const ServiceName& service, const Bottleneck& bottleneck,
-                         const CallGraph::Calls& calls, const PeerTable& peers);
+    using Rooms = std::vector<std::pair<ServiceName, ServiceRoom>>;
+    using LevelOf = double (ServiceRoom::*)() const noexcept;
+
+    static Rooms roomsOf (const Applicant& applicant, const CallGraph::Demand& demand,
+                          const PeerTable& peers);
+    static Bottleneck findBottleneck (const Rooms& rooms, LevelOf levelOf);
+    static double smallestRoom (const Rooms& rooms) noexcept;
+    double relativeCost (const Applicant& applicant, const Bottleneck& bottleneck, double cost) const;
+    void updateMeanCost (const Applicant& applicant, const Bottleneck& bottleneck, double cost);
     static std::uint32_t priorityOf (const Route& route, const RouteTable& routes, bool isClientRetry,
                                      Random& random);
     bool isClientRetry (const RouteName& route, Duration timeout);
--- a/modules/plankledge_policy/relay/entry/EntryLog.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryLog.cpp
@@ -35,6 +35,7 @@
                { "service", refusal.m_service },
                { "place", fmt::format ("{:.3f}", refusal.m_shedRank) },
                { "level", fmt::format ("{:.3f}", refusal.m_level) },
+               { "room", fmt::format ("{:.3f}", refusal.m_room) },
                { "route", request.m_route.m_name },
                { "version", number (version) } } };
 }
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -197,15 +197,16 @@
 */
 bool RelayEntry::admit (Turn& turn, Request& request, Duration timeout)
 {
-    const auto decision =
-        m_admission.decide (request.m_route, request.m_service, timeout, m_dependencies.m_routes.table(),
-                            m_dependencies.m_peers, m_dependencies.m_calls, turn.random());
+    const auto decision = m_admission.decide (
+        { request.m_route, request.m_service, timeout, request.m_isTolerantChain, turn.now() },
+        m_dependencies.m_routes.table(), m_dependencies.m_peers, m_dependencies.m_calls, turn.random());
 
     request.m_effectivePriority = static_cast<std::uint16_t> (decision.m_priority);
 
     if (! decision.m_refusal.has_value())
         return true;
 
+    turn.counters().m_refusedWithRoom += decision.m_refusal->isWithRoom() ? 1 : 0;
     turn.emit (
         detail::logOverloadedDownstream (request, *decision.m_refusal, m_dependencies.m_routes.version()));
     return false;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -77,6 +77,7 @@
     appendCounter (text, "lost_calls_total", counters.m_lostCalls);
     appendCounter (text, "redirects_total", counters.m_redirects);
     appendCounter (text, "rate_limit_redirects_total", counters.m_rateLimitRedirects);
+    appendCounter (text, "refused_with_room_total", counters.m_refusedWithRoom);
     appendCounter (text, "crash_reports_total", counters.m_crashReports);
     appendCounter (text, "crashes_withdrawn_total", counters.m_crashesWithdrawn);
     appendCounter (text, "malformed_rate_limits_total", counters.m_malformedRateLimits);
