The load that a target states in Server-Load is decoded

What callers would see: nothing. The header is still not passed on to them. Cause: the gate needs the running and waiting requests, the slots and the work time that its target states. Anything other than three or four whole numbers in range, or several headers that differ, is malformed and yields no load. Several headers that state the same figures count once. No check was changed.

--- a/tests/platform/HttpCodec_test.cpp
+++ b/tests/platform/HttpCodec_test.cpp
@@ -181,6 +181,83 @@
         }
 }
 
+namespace
+{
+
+struct LoadRow
+{
+    const char* m_name;
+    std::vector<std::string> m_values; /**< of one header each */
+    std::optional<TargetLoad> m_load;  /**< nullopt: malformed */
+};
+
+const TargetLoad threeFigures { 3, 0, 20, std::nullopt };
+const TargetLoad fourFigures { 3, 12, 20, std::uint16_t { 150 } };
+
+const LoadRow loadRows[] = {
+    { "three figures", { "3,0,20" }, threeFigures },
+    { "four figures", { "3,12,20,150" }, fourFigures },
+    { "blanks", { "  3 ,\t12,20 , 150 " }, fourFigures },
+    { "least values", { "0,0,1,1" }, TargetLoad { 0, 0, 1, std::uint16_t { 1 } } },
+    { "greatest values",
+      { "4294967295,4294967295,1000000,10000" },
+      TargetLoad { 4294967295, 4294967295, 1000000, std::uint16_t { 10000 } } },
+    { "leading zeros", { "03,012,0020,0150" }, fourFigures },
+    { "twice the same", { "3,12,20,150", "3, 12, 20, 150" }, fourFigures },
+    { "empty", { "" }, std::nullopt },
+    { "blank", { " " }, std::nullopt },
+    { "two figures", { "3,12" }, std::nullopt },
+    { "five figures", { "3,12,20,150,1" }, std::nullopt },
+    { "empty figure", { "3,,20" }, std::nullopt },
+    { "comma at the end", { "3,12,20," }, std::nullopt },
+    { "comma at the start", { ",3,12,20" }, std::nullopt },
+    { "negative", { "-1,12,20" }, std::nullopt },
+    { "with a sign", { "+3,12,20" }, std::nullopt },
+    { "fraction", { "3,12,20,150.5" }, std::nullopt },
+    { "exponent", { "3,12,2e1" }, std::nullopt },
+    { "hexadecimal", { "0x3,12,20" }, std::nullopt },
+    { "text", { "busy" }, std::nullopt },
+    { "text behind a figure", { "3,12,20,150%" }, std::nullopt },
+    { "blank within a figure", { "3,1 2,20" }, std::nullopt },
+    { "other separator", { "3;12;20" }, std::nullopt },
+    { "does not fit", { "4294967296,0,20" }, std::nullopt },
+    { "far too long", { std::string (5000, '9') + ",0,20" }, std::nullopt },
+    { "zero byte", { std::string ("3,12,20\0", 8) }, std::nullopt },
+    { "no slots", { "3,12,0" }, std::nullopt },
+    { "too many slots", { "3,12,1000001" }, std::nullopt },
+    { "work time 0", { "3,12,20,0" }, std::nullopt },
+    { "work time too long", { "3,12,20,10001" }, std::nullopt },
+    { "work time beyond 16 bits", { "3,12,20,65686" }, std::nullopt },
+    { "two that differ", { "3,12,20,150", "3,12,20,151" }, std::nullopt },
+    { "two, one without a work time", { "3,12,20", "3,12,20,150" }, std::nullopt },
+    { "one behind a malformed one", { "x", "3,12,20" }, std::nullopt },
+    { "one between malformed ones", { "3,12,20", "x", "3,12,20" }, std::nullopt },
+};
+
+} // namespace
+
+TEST_CASE ("a target's load is read from any response and not passed on; a malformed one yields none")
+{
+    for (const auto& row : loadRows)
+        for (const std::uint16_t status : { 200, 500, 503 })
+        {
+            CAPTURE (row.m_name);
+            CAPTURE (status);
+            HttpHeaders headers { { "Server-Limit", "3" } };
+
+            for (const auto& value : row.m_values)
+                headers.emplace_back ("server-load", value);
+
+            const auto reply = decodeTargetResponse (targetResponse (status, headers));
+            REQUIRE (reply.m_condition.has_value());
+            CHECK (reply.m_condition->m_load == row.m_load);
+            CHECK (reply.m_condition->m_isLoadMalformed == ! row.m_load.has_value());
+            CHECK (reply.m_condition->m_rateLimit == 3.0);
+            CHECK_FALSE (reply.m_condition->m_isRateLimitMalformed);
+            CHECK (reply.m_answer.m_headers == HttpHeaders { { "Server-Limit", "3" } });
+        }
+}
+
 TEST_CASE ("a target's response is returned unchanged; a node's own error contains nothing from a target")
 {
     RelayResult result { Outcome::completed, Reason::none, { 201, { { "Server-Stamp", "s" } }, "body" }, {} };
