The gate estimates durations for the work time that its target states now

What callers would see: where a target states a work time, requests that it can no longer serve in time are refused at once instead of after their queueing time, and entries learn a changed speed from the first answer that states it. Where targets state none, nothing changes. Cause: the gate expected the moving average of past durations. Targets change their speed by a factor of 2.5 within a second, in which the average follows late. Change: StatedLoad keeps the last load of the current incarnation; a work time is valid for 1 s. RouteTimes learns for each route how durations depend on the work time, by weighted linear regression with a slope between 0 and that of a proportional duration, and estimates for the valid one; without it the estimate is the mean. The gate uses the estimate for slot times, queue waits and the times sent to entries. Queued requests are estimated again when the work time has moved by a tenth. Metrics, two log lines and a counter of malformed loads show it.

--- a/modules/plankledge_policy/relay/gate/GateLog.cpp
+++ b/modules/plankledge_policy/relay/gate/GateLog.cpp
@@ -103,6 +103,29 @@
     return { Decision::targetConditionChanged, {}, { { "target", target }, { "rate_limit", "malformed" } } };
 }
 
+void logStatedLoad (Turn& turn, const TargetId& target, const StatedLoad& load,
+                    const StatedLoad::Findings& findings, std::size_t running)
+{
+    const auto& stated = load.last();
+
+    if (findings.m_isWorkTimeUnusual.has_value())
+        turn.emit (LogDecision { Decision::targetConditionChanged,
+                                 {},
+                                 { { "target", target },
+                                   { "work_time_percent", number (stated->m_workTimePercent.value_or (0)) },
+                                   { "mean_percent", fmt::format ("{:.0f}", load.meanWorkTime()) },
+                                   { "unusual", yesOrNo (*findings.m_isWorkTimeUnusual) } } });
+
+    if (findings.m_isWaitingWithinLimit)
+        turn.emit (LogDecision { Decision::targetConditionChanged,
+                                 {},
+                                 { { "target", target },
+                                   { "waiting", number (stated->m_waiting) },
+                                   { "stated_running", number (stated->m_running) },
+                                   { "stated_slots", number (stated->m_slots) },
+                                   { "running", number (running) } } });
+}
+
 LogDecision logAdmission (const AdmissionChange& change)
 {
     return { Decision::admissionMoved,
--- a/modules/plankledge_policy/relay/gate/GateLog.h
+++ b/modules/plankledge_policy/relay/gate/GateLog.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "plankledge_policy/Effects.h"
+#include "plankledge_policy/Turn.h"
 #include "plankledge_policy/relay/gate/GateCall.h"
 #include "plankledge_policy/relay/gate/LocalTarget.h"
+#include "plankledge_policy/relay/gate/StatedLoad.h"
 #include "plankledge_policy/relay/gate/TargetRateLimit.h"
 
 /** Log records of a gate: each decision with its inputs. */
@@ -58,6 +60,14 @@
 LogDecision logAnnounced (const LocalTarget& target);
 LogDecision logRateLimit (const TargetId& target, std::optional<double> before, const TargetRateLimit& limit);
 LogDecision logMalformedRateLimit (const TargetId& target);
+
+/** Logs what an answer has changed in the load that the target states, if anything is to be reported.
+
+    @param running   number of other requests running at the target
+*/
+void logStatedLoad (Turn& turn, const TargetId& target, const StatedLoad& load,
+                    const StatedLoad::Findings& findings, std::size_t running);
+
 LogDecision logAdmission (const AdmissionChange& change);
 
 } // namespace plankledge::detail
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -110,7 +110,7 @@
     if (call.m_request.m_keyValidFor.has_value())
         call.m_keyValidUntil = turn.now() + *call.m_request.m_keyValidFor;
 
-    call.m_slotTime = m_slotTimes.estimate (call.m_request.m_route);
+    call.m_slotTime = m_slotTimes.estimate (call.m_request.m_route, m_load.workTime (turn.now()));
     call.m_isChainActive =
         call.m_request.m_isNested && m_activeChains.contains (call.m_request.m_content.m_id);
     // Under overload, a chain that waits long for its first slot has too little time left for its later
@@ -303,10 +303,11 @@
 void TargetGate::addSample (const Call& call, Time now, bool isFailure)
 {
     m_failureRate += ((isFailure ? 1.0 : 0.0) - m_failureRate) * smoothingFactor;
-    m_slotTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now);
+    const auto workTime = m_load.workTimeOf (call.m_target, now);
+    m_slotTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now, workTime);
 
     if (! isFailure)
-        m_serviceTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now);
+        m_serviceTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now, workTime);
 }
 
 void TargetGate::onCondition (Turn& turn, const Call& call, const TargetCondition& condition)
@@ -321,12 +322,32 @@
         turn.emit (detail::logMalformedRateLimit (m_target.id()));
 
     turn.counters().m_malformedRateLimits += condition.m_isRateLimitMalformed ? 1 : 0;
+    turn.counters().m_malformedLoads += condition.m_isLoadMalformed ? 1 : 0;
+    const auto findings = m_load.onAnswer (condition, call.m_target, { m_running, limit() }, turn.now());
+    detail::logStatedLoad (turn, m_target.id(), m_load, findings, m_running);
+
+    if (findings.m_isWorkTimeMoved)
+        updateQueuedWork (turn.now());
+
     const auto before = m_rateLimit.perSecond();
 
     if (m_rateLimit.onAnswer (condition, call.m_dispatchedAt, turn.now()))
         onRateLimitChanged (turn, before);
 }
 
+/** Estimates the queued requests for the present work time. */
+void TargetGate::updateQueuedWork (Time now)
+{
+    m_queuedWork = {};
+
+    for (const auto& [key, id] : m_queue)
+    {
+        auto& call = m_calls.at (id);
+        call.m_slotTime = m_slotTimes.estimate (call.m_request.m_route, m_load.workTime (now));
+        m_queuedWork += call.m_slotTime;
+    }
+}
+
 void TargetGate::onLeavingStated (Turn& turn, const TargetIncarnation& target)
 {
     if (m_target.onLeavingStated (target) != LocalTarget::Change::leaving || ! m_target.isLeaving())
@@ -449,6 +470,7 @@
     m_failureRate = 0.0;
     m_level = AdmissionLevel();
     m_rateLimit = {};
+    m_load.onNewIncarnation (m_target.incarnation());
     m_closedUntil = Time();
     turn.emit (DropTargetConnections {});
     m_hooks.m_onStatusChanged (turn);
@@ -529,6 +551,7 @@
 
 void TargetGate::onWindowEnd (Turn& turn)
 {
+    m_windowEndedAt = turn.now();
     m_failureRate *= failureDecay;
     updateOpen (turn);
     dispatchNext (turn);
@@ -637,7 +660,8 @@
 
 void TargetGate::answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result)
 {
-    const auto time = m_serviceTimes.findAverage (route).value_or (Duration::zero());
+    const auto time =
+        m_serviceTimes.findEstimate (route, m_load.workTime (turn.now())).value_or (Duration::zero());
     RelayAnswer message { caller.m_call, std::move (result), status (turn.now()), time, m_hooks.m_version() };
 
     if (caller.m_link == 0)
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -8,6 +8,7 @@
 #include "plankledge_policy/relay/gate/GateCall.h"
 #include "plankledge_policy/relay/gate/LocalTarget.h"
 #include "plankledge_policy/relay/gate/RouteTimes.h"
+#include "plankledge_policy/relay/gate/StatedLoad.h"
 #include "plankledge_policy/relay/gate/TargetRateLimit.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
 
@@ -92,11 +93,19 @@
     void onCallCompleted (std::string_view requestId) noexcept;
 
     GateStatus status (Time now) const;
-    std::vector<RouteTime> routeTimes() const { return m_serviceTimes.all(); }
+
+    /** @returns the expected time of each route, for the work time that was valid at the end of the last
+     * window */
+    std::vector<RouteTime> routeTimes() const
+    {
+        return m_serviceTimes.all (m_load.workTime (m_windowEndedAt));
+    }
+
     std::vector<CallEdge> callEdges() const { return m_graph.ownEdges(); }
     const LocalTarget& target() const noexcept { return m_target; }
 
     const TargetRateLimit& rateLimit() const noexcept { return m_rateLimit; }
+    const StatedLoad& statedLoad() const noexcept { return m_load; }
     bool isIdle() const noexcept { return m_calls.empty(); }
     std::size_t running() const noexcept { return m_running; }
     std::size_t queued() const noexcept { return m_queue.size(); }
@@ -124,6 +133,7 @@
     void answer (Turn& turn, const GateCaller& caller, const RouteName& route, RelayResult result);
     Call removeCall (Turn& turn, CallId id);
     void addSample (const Call& call, Time now, bool isFailure);
+    void updateQueuedWork (Time now);
     void onCondition (Turn& turn, const Call& call, const TargetCondition& condition);
     void onLeavingStated (Turn& turn, const TargetIncarnation& target);
     void onRestrictionReported (Turn& turn, const TargetRestriction& restriction);
@@ -141,6 +151,8 @@
     Hooks m_hooks;
     LocalTarget m_target;
     TargetRateLimit m_rateLimit;
+    StatedLoad m_load;
+    Time m_windowEndedAt;
     std::optional<Time> m_rateLimitTimerDue; /**< nullopt: none pending */
     bool m_isStatusDirty = false;            /**< to be sent to peers at the end of the window */
     AdmissionLevel m_level;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -80,6 +80,7 @@
     appendCounter (text, "crash_reports_total", counters.m_crashReports);
     appendCounter (text, "crashes_withdrawn_total", counters.m_crashesWithdrawn);
     appendCounter (text, "malformed_rate_limits_total", counters.m_malformedRateLimits);
+    appendCounter (text, "malformed_loads_total", counters.m_malformedLoads);
     appendCounter (text, "store_restores_total", counters.m_storeRestores);
     appendCounter (text, "acquittals_total", counters.m_acquittals);
     appendCounter (text, "late_answers_total", counters.m_lateAnswers);
@@ -193,6 +194,29 @@
 
 } // namespace
 
+namespace
+{
+
+/** Appends the load that the target states. */
+void appendStatedLoad (std::string& text, const StatedLoad& load, Time now)
+{
+    if (! load.last().has_value())
+        return;
+
+    const auto& stated = *load.last();
+    appendGauge (text, "target_stated_running", stated.m_running);
+    appendGauge (text, "target_stated_waiting", stated.m_waiting);
+    appendGauge (text, "target_stated_waiting_max", load.maxWaiting());
+    appendGauge (text, "target_stated_slots", stated.m_slots);
+    appendGauge (text, "target_stated_load_age_milliseconds",
+                 static_cast<double> (toMilliseconds (load.age (now))));
+
+    if (stated.m_workTimePercent.has_value())
+        appendGauge (text, "target_stated_work_time_percent", *stated.m_workTimePercent);
+}
+
+} // namespace
+
 std::string renderRelayMetrics (const Reducer& reducer, const NodeMetrics& metrics,
                                 const ControlTraffic& traffic, Time now)
 {
@@ -225,6 +249,7 @@
                      static_cast<double> (toMilliseconds (relay.gate().rateLimit().age (now))));
     }
 
+    appendStatedLoad (text, relay.gate().statedLoad(), now);
     appendGauge (text, "crashes_remembered", static_cast<double> (relay.crashes().crashHistory().crashes()));
     appendGauge (text, "contents_held", static_cast<double> (relay.crashes().crashHistory().held()));
 
