Retries of latency-tolerant chains are ordered by configured priority

What callers see: while targets reject many requests, more chains of the most important routes complete, and fewer chains that were promoted from lower-priority routes. Chains of routes that are not latency-tolerant get the same retries as before.

Cause: a promoted chain competed for the scarce retries with the most important chains and took about a third of them.

Change: entry/RetryRank computes the shed rank of a chain for retries. Tolerant chains are ranked by the configured priority of the route at which they began, others by the effective priority. RetryPolicy uses it and counts granted retries by that priority (plankledge_retries_by_priority_total, priority 0, 1, 2-and-lower). The log line request-sent-again has chain_priority and priority.

--- a/modules/plankledge_policy/relay/entry/EntryLog.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryLog.cpp
@@ -57,7 +57,10 @@
 {
     return { Decision::requestSentAgain,
              request.m_content.m_id,
-             { { "reason", std::string (nameOf (reason)) }, { "arrivals", number (request.m_attempts) } } };
+             { { "reason", std::string (nameOf (reason)) },
+               { "arrivals", number (request.m_attempts) },
+               { "chain_priority", number (request.m_retryPriority) },
+               { "priority", number (request.m_effectivePriority) } } };
 }
 
 LogDecision logCancelled (const EntryRequest& request, Time now)
--- a/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
+++ b/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
@@ -1,7 +1,9 @@
 #include "plankledge_policy/relay/entry/RetryPolicy.h"
 
-#include "plankledge_core/Hash.h"
 #include "plankledge_policy/relay/RequestIds.h"
+#include "plankledge_policy/relay/entry/RetryRank.h"
+
+#include <algorithm>
 
 namespace plankledge
 {
@@ -16,6 +18,12 @@
     one request in a hundred fails after this many attempts. */
 constexpr std::uint32_t maxAttemptsIfRejected = 8;
 
+void countGranted (Counters& counters, std::size_t priority)
+{
+    auto& granted = counters.m_retriesByPriority;
+    ++granted[std::min (priority, granted.size() - 1)];
+}
+
 } // namespace
 
 //==============================================================================
@@ -54,8 +62,16 @@
         return deny (RetryDenied::noTime);
 
     const auto& demand = m_dependencies.m_calls.demandOf (request.m_route.m_name);
-    return m_throttle.tryAcquire (request.m_service, demand, shedRankOf (request), turn.now()) ||
-           deny (RetryDenied::throttled);
+    const RetryRankCriteria chain { rootOf (request.m_content.m_id), request.m_retryPriority,
+                                    request.m_effectivePriority, request.m_completedCalls,
+                                    request.m_isTolerantChain };
+    const auto shedRank = computeRetryRank (chain, m_dependencies.m_routes.table());
+
+    if (! m_throttle.tryAcquire (request.m_service, demand, shedRank, turn.now()))
+        return deny (RetryDenied::throttled);
+
+    countGranted (turn.counters(), request.m_retryPriority);
+    return true;
 }
 
 void RetryPolicy::limitTargets (detail::EntryRequest& request) const
@@ -70,19 +86,4 @@
             request.m_tried.insert (peer->m_member.m_id.m_instance);
 }
 
-/** @returns the shed rank of the call chain of a request, in [0, 1), which is the same at every node that
-    sees the chain's id. Calls without a chain id have a rank of their own. Within a priority, the chains
-    with the most completed calls have the lowest ranks: they have the most work to lose and need the fewest
-    retries to finish. */
-double RetryPolicy::shedRankOf (const detail::EntryRequest& request) const
-{
-    constexpr std::uint64_t cohorts = 1000;
-    const auto& routes = m_dependencies.m_routes.table();
-    const auto cohort = static_cast<double> (hashText (rootOf (request.m_content.m_id)) % cohorts) / cohorts;
-    const auto completedCalls = static_cast<double> (request.m_completedCalls);
-    const auto lowest = 1.0 / (completedCalls + 2.0);
-    const auto rankInPriority = lowest + cohort * (1.0 / (completedCalls + 1.0) - lowest);
-    return routes.shedRankOfPriority (request.m_effectivePriority) + rankInPriority * routes.shedRankWidth();
-}
-
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/entry/RetryPolicy.h
+++ b/modules/plankledge_policy/relay/entry/RetryPolicy.h
@@ -17,9 +17,9 @@
     A request that may have run is retried only if its route is repeatable, and at no more
     targets than its route allows. A request that targets rejected did not run: it may be
     sent to the same targets several times. Every attempt after the first is charged to the
-    retry throttle.
+    retry throttle, which grants scarce retries in the order of computeRetryRank().
 
-    @see RelayRetryThrottle
+    @see RelayRetryThrottle, RetryRankCriteria
 */
 class RetryPolicy
 {
@@ -38,7 +38,7 @@
     /** Must be called before the first attempt of each request. */
     void onRequest (const detail::EntryRequest& request, Time now);
 
-    /** Charges a retry to the throttle, or counts why it was denied.
+    /** Charges a retry to the throttle and counts it, or counts why it was denied.
 
         @param result   result of the last attempt
 
@@ -52,8 +52,6 @@
 
 private:
     //==============================================================================
-    double shedRankOf (const detail::EntryRequest& request) const;
-
     Dependencies m_dependencies;
     RelayRetryThrottle m_throttle;
 };
--- /dev/null
+++ b/modules/plankledge_policy/relay/entry/RetryRank.cpp
@@ -0,0 +1,27 @@
+#include "plankledge_policy/relay/entry/RetryRank.h"
+
+#include "plankledge_core/Hash.h"
+
+namespace plankledge
+{
+
+namespace
+{
+
+/** Chains of equal priority and progress are spread over this many cohorts. */
+constexpr std::uint64_t cohorts = 1000;
+
+} // namespace
+
+//==============================================================================
+double computeRetryRank (const RetryRankCriteria& chain, const RouteTable& routes)
+{
+    const auto priority = chain.m_isTolerantChain ? chain.m_configuredPriority : chain.m_effectivePriority;
+    const auto cohort = static_cast<double> (hashText (chain.m_root) % cohorts) / cohorts;
+    const auto completedCalls = static_cast<double> (chain.m_completedCalls);
+    const auto lowest = 1.0 / (completedCalls + 2.0);
+    const auto rankInPriority = lowest + cohort * (1.0 / (completedCalls + 1.0) - lowest);
+    return routes.shedRankOfPriority (priority) + rankInPriority * routes.shedRankWidth();
+}
+
+} // namespace plankledge
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -61,12 +61,23 @@
 namespace
 {
 
+void appendRetriesByPriority (std::string& text, const Counters& counters)
+{
+    const auto& retries = counters.m_retriesByPriority;
+    text += "# TYPE plankledge_retries_by_priority_total counter\n";
+
+    for (std::size_t priority = 0; priority < retries.size(); ++priority)
+        text += fmt::format ("plankledge_retries_by_priority_total{{priority=\"{}{}\"}} {}\n", priority,
+                             priority + 1 < retries.size() ? "" : "-and-lower", retries[priority]);
+}
+
 void appendRequestCounters (std::string& text, const Counters& counters)
 {
     appendCounters (text, "refusals_total", counters.m_refusals);
     appendCounters (text, "system_answers_total", counters.m_systemAnswers);
     appendCounters (text, "retries_total", counters.m_retries);
     appendCounters (text, "retries_denied_total", counters.m_retriesDenied);
+    appendRetriesByPriority (text, counters);
     text += "# TYPE plankledge_outcomes_total counter\n";
 
     for (std::size_t index = 0; index < counters.m_outcomes.size(); ++index)
