OfferPolicy test: bound of the largest share derived from the slots

Nothing changes for callers.

Cause: the bound of the largest share, 0.35, was above the 0.29 seen without the policy, so that the check passed without it. The replay did not show in which periods requests are refused. The description of Counters::m_overloadedOffers did not state the condition under which it is counted.

Change: at a load of 0.75 of the slots, a target with a share above 0.2 / 0.75 gets more than its slots, which is now the bound. The replay prints the refusals of each period, and its comment states that shares are not checked after the change of speed. Doc comments of prepareRedirect and of the counter.

--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -35,7 +35,7 @@
     std::uint64_t m_busyRedirects =
         0; /**< of the redirects: since the instance would have queued the call too long */
     std::uint64_t m_overloadedOffers =
-        0; /**< calls refused as overloaded by every instance they were offered to */
+        0; /**< calls refused as overloaded after the maximum number of busy redirects */
     std::uint64_t m_refusedWithRoom =
         0; /**< requests not admitted although all services needed had free slots */
     std::uint64_t m_malformedLoads = 0; /**< answers of the target, whose load can't be read */
--- a/modules/plankledge_policy/relay/entry/OfferPolicy.h
+++ b/modules/plankledge_policy/relay/entry/OfferPolicy.h
@@ -52,9 +52,13 @@
     */
     Duration offer (detail::EntryRequest& request, const Peer& peer, Time now) const;
 
-    /** Decides whether a request that a gate refused as overloaded may be offered to another target, and
-       which targets may be selected for that: before the last offer, those that refused a short offer become
-        eligible again, since they may accept the full queueing time. */
+    /** Decides whether a request that a gate refused as overloaded may be offered to another target.
+
+        Before the last offer, targets that refused a short offer become eligible again, since they may accept
+        the full queueing time.
+
+        @returns false if the request must not be redirected
+    */
     bool prepareRedirect (detail::EntryRequest& request, Time now) const;
 
     /** Makes targets that refused a short offer eligible again if no other target is left. */
--- a/tests/relay/entry/OfferPolicy_test.cpp
+++ b/tests/relay/entry/OfferPolicy_test.cpp
@@ -550,7 +550,8 @@
 constexpr int slowUntil = 10;
 constexpr int periods = 16;
 
-/** Sends requests at a constant rate for periods of half a second, and prints the shares of the targets.
+/** Sends requests at a constant rate for periods of half a second. Prints the shares of the targets and the
+    number of refusals in each period.
 
     @param perStep        requests in each 50 ms; the five targets run 11 to 12 in that time
     @param changesSpeed   whether the first target is slow at times
@@ -559,6 +560,7 @@
 std::pair<double, double> applyLoad (BurstSite& site, int perStep, bool changesSpeed)
 {
     auto redirects = site.busyRedirects();
+    auto refused = site.refused();
     int next = 0;
     std::pair<double, double> range { 1.0, 0.0 };
 
@@ -580,8 +582,10 @@
 
         const auto redirected = site.busyRedirects() - redirects;
         redirects += redirected;
-        MESSAGE (fmt::format ("{} ms: shares{}, redirects {}, target one is {}", period * 500,
-                              site.shares (from), redirected, isSlow ? "slow" : "as usual"));
+        const auto refusedBefore = std::exchange (refused, site.refused());
+        MESSAGE (fmt::format ("{} ms: shares{}, redirects {}, refused {}, target one is {}", period * 500,
+                              site.shares (from), redirected, refused - refusedBefore,
+                              isSlow ? "slow" : "as usual"));
         CHECK (redirected <= (site.m_sent.size() - sentBefore) * OfferPolicy::maxRedirects);
         const auto counts = site.runsSince (from);
 
@@ -607,10 +611,14 @@
 // Guards against oscillation: 40 entries hold the same information, which is older than a round trip, and one
 // target changes its speed by a factor of 2.5 within a second. The bound on redirects is that of the policy:
 // three offers a request, in each half second. Without the policy, entries alternate between the targets
-// (shares of 0.00 to 0.29 at equal speeds).
+// (shares of 0.00 to 0.29 at equal speeds). Shares are checked only before the first change of speed: after
+// it, the first target keeps a share of at most 0.01, also in the 3 s in which it works as usual again.
 TEST_CASE ("entries with the same information keep the shares of the targets even")
 {
     constexpr int entries = 40;
+
+    // The load is 0.75 of the slots, so that a target with a larger share gets more than its slots.
+    constexpr double shareOfFullTarget = 0.2 / 0.75;
     std::map<bool, int> refused;
 
     for (const bool isTolerant : { false, true })
@@ -629,7 +637,7 @@
         // No gate refuses one for good. Admission at the entries is no part of the policy.
         CHECK (site.refused() == site.refusedByAdmission());
         CHECK (smallest > 0.1);
-        CHECK (largest < 0.35);
+        CHECK (largest < shareOfFullTarget);
     }
 
     CHECK (refused[true] < refused[false]);
