Route times are read for the work time that is valid when they are sent

What callers would see: nothing but slightly earlier corrections of expected times. Cause: TargetGate::routeTimes() took the end of the last window as the present time. A work time that had expired since then was still used in PeerStatus, for up to 100 ms. Change: routeTimes() takes the time. RelayDecisions and NodeMetrics pass the present one; the time of the last window's end is no longer kept. The test of the validity also checks the last microsecond of it and the first one after it; its earlier checks stay. Two adjacent anonymous namespaces in NodeMetrics are one. No test reads an expired time out of a sent PeerStatus.

--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -134,7 +134,7 @@
 
     m_gate.onWindowEnd (m_turn);
     m_peers.onGate (m_peers.self(), m_gate.status (m_turn.now()), now);
-    m_peers.onRouteTimes (m_peers.self(), m_gate.routeTimes());
+    m_peers.onRouteTimes (m_peers.self(), m_gate.routeTimes (now));
     m_calls.setPeerEdges (m_peers.self(), m_gate.callEdges());
 
     for (const auto& instance : m_peers.takeNewlyUnreachable (now))
@@ -229,9 +229,12 @@
 
 PeerStatus RelayDecisions::status() const
 {
-    return { m_routes.version(),  m_gate.status (m_turn.now()),
-             m_gate.routeTimes(), std::nullopt,
-             m_store.view(),      m_crashes.digest() };
+    return { m_routes.version(),
+             m_gate.status (m_turn.now()),
+             m_gate.routeTimes (m_turn.now()),
+             std::nullopt,
+             m_store.view(),
+             m_crashes.digest() };
 }
 
 /** Pushes the gate's status to peers, so that they stop sending at once when it closes. */
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -551,7 +551,6 @@
 
 void TargetGate::onWindowEnd (Turn& turn)
 {
-    m_windowEndedAt = turn.now();
     m_failureRate *= failureDecay;
     updateOpen (turn);
     dispatchNext (turn);
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -94,12 +94,8 @@
 
     GateStatus status (Time now) const;
 
-    /** @returns the expected time of each route, for the work time that was valid at the end of the last
-     * window */
-    std::vector<RouteTime> routeTimes() const
-    {
-        return m_serviceTimes.all (m_load.workTime (m_windowEndedAt));
-    }
+    /** @returns the expected time of each route, for the work time that is valid at a time */
+    std::vector<RouteTime> routeTimes (Time now) const { return m_serviceTimes.all (m_load.workTime (now)); }
 
     std::vector<CallEdge> callEdges() const { return m_graph.ownEdges(); }
     const LocalTarget& target() const noexcept { return m_target; }
@@ -152,7 +148,6 @@
     LocalTarget m_target;
     TargetRateLimit m_rateLimit;
     StatedLoad m_load;
-    Time m_windowEndedAt;
     std::optional<Time> m_rateLimitTimerDue; /**< nullopt: none pending */
     bool m_isStatusDirty = false;            /**< to be sent to peers at the end of the window */
     AdmissionLevel m_level;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -192,11 +192,6 @@
                     result, number);
 }
 
-} // namespace
-
-namespace
-{
-
 /** Appends the load that the target states. */
 void appendStatedLoad (std::string& text, const StatedLoad& load, Time now)
 {
@@ -236,7 +231,7 @@
     appendGauge (text, "admitted_permille", gate.m_admittedPermille);
     appendGauge (text, "queued_slot_milliseconds", static_cast<double> (gate.m_queuedWork.count()) / 1000.0);
 
-    for (const auto& time : relay.gate().routeTimes())
+    for (const auto& time : relay.gate().routeTimes (now))
         appendGauge (text, fmt::format ("target_milliseconds{{route=\"{}\"}}", time.m_route),
                      static_cast<double> (time.m_time.count()) / 1000.0);
 
--- a/tests/relay/gate/StatedLoad_test.cpp
+++ b/tests/relay/gate/StatedLoad_test.cpp
@@ -397,12 +397,18 @@
     const auto ticket = site.send ("entry", "last", "/read/x");
     site.run (Milliseconds (90));
     REQUIRE (site.answers().contains (ticket));
-    const auto atOnce = site.gate().routeTimes().front().m_time;
+    const auto statedAt = site.now() - site.gate().statedLoad().age (site.now());
+    const auto timeAt = [&site] (Time time) { return site.gate().routeTimes (time).front().m_time; };
+    const auto atOnce = timeAt (site.now());
     CHECK (ratio (atOnce, SpeedSite::durationAt (150)) > 0.9);
+
+    // Between the ends of two windows too, since a status may be sent to peers at any time.
+    CHECK (timeAt (statedAt + StatedLoad::validity) == atOnce);
+    CHECK (ratio (timeAt (statedAt + StatedLoad::validity + Duration (1)), SpeedSite::durationAt (60)) < 1.2);
     site.run (Milliseconds (850));
-    CHECK (site.gate().routeTimes().front().m_time == atOnce);
+    CHECK (timeAt (site.now()) == atOnce);
     site.run (Milliseconds (250));
-    CHECK (ratio (site.gate().routeTimes().front().m_time, SpeedSite::durationAt (60)) < 1.2);
+    CHECK (ratio (timeAt (site.now()), SpeedSite::durationAt (60)) < 1.2);
 }
 
 TEST_CASE ("a restart of the target clears the load; late and surplus answers don't state one")
