--- a/tests/relay/entry/RelayRetryThrottle_test.cpp
+++ b/tests/relay/entry/RelayRetryThrottle_test.cpp
@@ -147,4 +147,66 @@
     CHECK (chargedGranted + 150 < plainGranted);
 }
 
+// Guards against retries that are allowed by many requests before an outage and exceed the limit in a later
+// window, which has few requests since chains end early.
+TEST_CASE (
+    "retries of tolerant chains stay within the limit of later windows, in which the request rate has fallen")
+{
+    const RelaySettings settings;
+    RelayRetryThrottle throttle (settings);
+    int requests = 0;
+    int granted = 0;
+
+    // A node of a large cluster has hardly any slack.
+    throttle.setNodeCount (1000);
+
+    for (int index = 0; index < 1200; ++index)
+        throttle.onRequest ("plans", start + Milliseconds (index * 10));
+
+    // The rate falls from 100 to 20 requests a second, and 80 retries a second are wanted.
+    for (int index = 0; index < 1000; ++index)
+    {
+        const auto now = start + Milliseconds (12000 + index * 10);
+
+        if (index % 5 == 0)
+        {
+            ++requests;
+            throttle.onRequest ("plans", now);
+        }
+        else
+        {
+            const auto shedRank = (index % 100) / 100.0;
+            granted += throttle.tryAcquire ("plans", {}, shedRank, now, true) ? 1 : 0;
+        }
+    }
+
+    MESSAGE ("retries ", granted, " of ", requests * settings.m_retryRatio);
+    CHECK (granted > requests * settings.m_retryRatio / 2);
+    CHECK (granted <= requests * settings.m_retryRatio + 1);
+}
+
+// Guards against retries for all ranks at the start of an outage, while the average of the wanted rate is
+// low.
+TEST_CASE ("tolerant chains of high rank get no retries in the first second of an outage")
+{
+    RelayRetryThrottle throttle { RelaySettings() };
+    int lowRank = 0;
+    int highRank = 0;
+
+    for (int index = 0; index < 1200; ++index)
+        throttle.onRequest ("plans", start + Milliseconds (index * 10));
+
+    for (int index = 0; index < 100; ++index)
+    {
+        const auto now = start + Milliseconds (12000 + index * 10);
+        throttle.onRequest ("plans", now);
+        lowRank += throttle.tryAcquire ("plans", {}, 0.1, now, true) ? 1 : 0;
+        highRank += throttle.tryAcquire ("plans", {}, 0.9, now, true) ? 1 : 0;
+    }
+
+    MESSAGE ("retries of low rank ", lowRank, ", of high rank ", highRank);
+    CHECK (lowRank > 25);
+    CHECK (highRank <= 3);
+}
+
 } // namespace plankledge::test
