--- a/modules/plankledge_policy/relay/entry/OfferPolicy.cpp
+++ b/modules/plankledge_policy/relay/entry/OfferPolicy.cpp
@@ -51,8 +51,13 @@
     const auto& instance = peer.m_member.m_id.m_instance;
     const auto fullTime = std::max (Duration::zero(), Duration (request.m_queueDeadline - now));
 
-    if (! request.m_isTolerantChain || request.m_isFullOfferDue || request.m_busyRedirects >= maxRedirects ||
-        fullTime <= maxShortQueueTime || ! isClear (request, now) || ! isOtherTargetFree (request, peer, now))
+    // A gate refuses an offer as rate-limited if its tokens last longer than the offered time, and such a
+    // refusal is not redirected by this policy.
+    const bool isRateLimited = peer.m_gate.m_rate.has_value();
+
+    if (! request.m_isTolerantChain || isRateLimited || request.m_isFullOfferDue ||
+        request.m_busyRedirects >= maxRedirects || fullTime <= maxShortQueueTime ||
+        ! isClear (request, now) || ! isOtherTargetFree (request, peer, now))
     {
         request.m_shortOffers.erase (instance);
         return fullTime;
