HttpServer: requests sent ahead on one connection run at the same time

Callers: GET, HEAD and OPTIONS requests that are sent ahead on one connection of the outbound address run at the same time, up to 8, and are answered in their order. Other requests run alone. A node that stops answers the requests that it has read; the last answer says Connection: close. Other servers, and callers that send nothing ahead, are served as before, except that a node that stops also closes connections after its answers to requests that it cannot decode.

Cause: a connection's next request was read only when the answer to the one before was written.

Change: HttpServer reads and writes a connection independently and leaves the order to ResponseOrder; the hook m_mayRunAhead enables it, and RelayCallerEdge sets it. While requests run, a read is begun only when bytes of the next request are there. A connection on which requests were sent ahead is read until the client closes it or 2 s have passed, since closing with unread bytes resets it and loses answers. When the node stops, RelayCallerEdge drains the server instead of closing each connection after the next answer: the latter would cancel requests that run at targets behind it. New metrics: requests_read_ahead_total and max_requests_on_connection.

--- a/modules/plankledge_runtime/Http.cpp
+++ b/modules/plankledge_runtime/Http.cpp
@@ -14,4 +14,9 @@
     return {};
 }
 
+bool isSafeMethod (std::string_view method) noexcept
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
 } // namespace plankledge
--- a/modules/plankledge_runtime/Http.h
+++ b/modules/plankledge_runtime/Http.h
@@ -15,6 +15,9 @@
 /** @returns the value of the first header of that name, ignoring case, or an empty string */
 std::string_view findHeader (const HttpHeaders& headers, std::string_view name) noexcept;
 
+/** @returns whether requests of this method only read, so that those of one caller may run in any order */
+bool isSafeMethod (std::string_view method) noexcept;
+
 //==============================================================================
 /** A complete HTTP/1.1 request. */
 struct HttpRequest
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/HttpServer.h"
 
 #include "plankledge_runtime/Acceptor.h"
+#include "plankledge_runtime/ResponseOrder.h"
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,7 +15,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <map>
 #include <optional>
+#include <vector>
 
 namespace plankledge
 {
@@ -33,20 +36,9 @@
 constexpr std::chrono::seconds discardTimeout { 2 };
 constexpr std::size_t maxDiscardedBytes = 8U << 20U;
 
-/** A request that waits for its response. */
-struct PendingExchange
-{
-    explicit PendingExchange (const asio::any_io_executor& executor)
-        : m_responseReady (executor)
-    {
-        m_responseReady.expires_at (asio::steady_timer::time_point::max());
-    }
-
-    std::optional<HttpResponse> m_response;
-    std::function<void()> m_onDisconnect;
-    asio::steady_timer m_responseReady;
-    bool m_isDisconnected = false;
-};
+/** Bounds for connections on which requests may run at the same time. Eight hide the durations of several
+    requests from a caller, while a connection holds at most as many request bodies. */
+constexpr ResponseOrder::Limits readAheadLimits { 8, 1U << 20U };
 
 HttpRequest toRequest (http::request<http::string_body> message)
 {
@@ -89,190 +81,344 @@
     return HttpServerError::malformed;
 }
 
-} // namespace
+bool isProtocolError (const beast::error_code& error) noexcept
+{
+    return error.category() == http::make_error_code (http::error::bad_value).category() &&
+           error != http::error::end_of_stream && error != http::error::partial_message;
+}
 
-//==============================================================================
-std::string_view nameOf (HttpServerError error) noexcept
+/** Peeks at one byte without blocking, since the socket may be reported as readable for bytes that
+    have been read since.
+
+    @returns no error if a byte is available, would_block if there is none yet, else the socket's error
+*/
+boost::system::error_code peekByte (tcp::socket& socket)
 {
-    constexpr std::array<std::string_view, 3> names { "malformed", "header-too-large", "body-too-large" };
-    return names.at (static_cast<std::size_t> (error));
+    boost::system::error_code error;
+    socket.non_blocking (true, error);
+
+    if (error)
+        return error;
+
+    char byte = 0;
+    socket.receive (asio::buffer (&byte, 1), tcp::socket::message_peek, error);
+    return error;
 }
 
-//==============================================================================
-struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation>
+void shutdownSend (beast::tcp_stream& stream)
 {
-    Implementation (asio::io_context& context, Hooks hooks)
-        : m_context (context)
-        , m_acceptor (context)
-        , m_hooks (std::move (hooks))
-    {
-    }
+    boost::system::error_code ignored;
+    stream.socket().shutdown (tcp::socket::shutdown_send, ignored);
+}
 
-    asio::awaitable<void> acceptLoop()
+/** Reads and discards what the client still sends: closing with unread bytes would reset the connection,
+    and the client might lose the response. */
+asio::awaitable<void> discardUnread (beast::tcp_stream& stream)
+{
+    shutdownSend (stream);
+    stream.expires_after (discardTimeout);
+    std::array<char, 16384> bytes {};
+
+    for (std::size_t discarded = 0; discarded < maxDiscardedBytes;)
     {
-        const auto self = shared_from_this();
+        const auto [error, size] = co_await stream.async_read_some (asio::buffer (bytes), asTuple);
 
-        while (m_acceptor.is_open())
-        {
-            auto [error, socket] = co_await m_acceptor.async_accept (asTuple);
+        if (error)
+            co_return;
 
-            if (error == asio::error::operation_aborted || ! m_acceptor.is_open())
-                co_return;
+        discarded += size;
+    }
+}
 
-            if (error)
-                continue;
+//==============================================================================
+/** What the connections of a server share. */
+struct Service
+{
+    HttpServer::Hooks m_hooks;
+    bool m_closesAfterResponses = false;
+};
 
-            boost::system::error_code ignored;
-            socket.set_option (tcp::no_delay (true), ignored);
-            asio::co_spawn (m_context, serve (std::move (socket)), asio::detached);
-        }
-    }
+/** A request from its reading to the writing of its response. */
+struct Exchange
+{
+    HttpRequest m_request;
+    unsigned m_version = 11;
+    std::function<void()> m_onDisconnect;
+};
 
-    asio::awaitable<void> serve (tcp::socket socket)
+//==============================================================================
+/** One connection: a coroutine reads its requests, while responses are written as they become ready. */
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    //==============================================================================
+    Connection (std::shared_ptr<Service> service, tcp::socket socket)
+        : m_service (std::move (service))
+        , m_stream (std::move (socket))
+        , m_changed (m_stream.get_executor())
+        , m_order (m_service->m_hooks.m_mayRunAhead ? readAheadLimits : ResponseOrder::Limits())
     {
-        const auto self = shared_from_this();
-        beast::tcp_stream stream (std::move (socket));
-        beast::flat_buffer buffer;
+        m_changed.expires_at (asio::steady_timer::time_point::max());
+    }
 
-        for (bool keepAlive = true; keepAlive;)
+    /** Serves the connection until it ends. */
+    static asio::awaitable<void> serve (std::shared_ptr<Connection> self)
+    {
+        while (! self->m_order.isFinished())
         {
-            http::request_parser<http::string_body> parser;
-            parser.header_limit (maxHeaderBytes);
-            parser.body_limit (maxBodyBytes);
-            stream.expires_after (idleTimeout);
-            const auto [error, size] = co_await http::async_read (stream, buffer, parser, asTuple);
-
-            if (error)
+            if (self->mayRead())
             {
-                co_await respondToError (stream, error);
-                break;
+                co_await self->readRequest();
+                continue;
             }
 
-            const auto version = parser.get().version();
-            keepAlive = parser.get().keep_alive();
-            auto response = co_await exchange (stream, toRequest (parser.release()));
+            self->watchForDisconnect();
+            co_await self->m_changed.async_wait (asTuple);
+        }
 
-            if (! response.has_value())
-                break;
+        if (self->mayHaveUnreadBytes())
+            co_await discardUnread (self->m_stream);
 
-            keepAlive = keepAlive && ! response->m_closesConnection && ! m_closesAfterResponses;
-            auto message = toMessage (std::move (*response), version, keepAlive);
-            stream.expires_after (writeTimeout);
-            const auto [writeError, written] = co_await http::async_write (stream, message, asTuple);
+        shutdownSend (self->m_stream);
+    }
 
-            if (writeError)
-                break;
-        }
+private:
+    //==============================================================================
+    /** While requests are unanswered, a read is begun only when bytes of the next one are there, so that a
+        connection without requests ahead needs no read buffer and has no time limit meanwhile. */
+    bool mayRead() const
+    {
+        return m_order.mayRead (m_service->m_closesAfterResponses) &&
+               (m_order.size() == 0 || m_hasBytes || m_buffer.size() > 0);
+    }
 
-        boost::system::error_code ignored;
-        stream.socket().shutdown (tcp::socket::shutdown_send, ignored);
+    asio::awaitable<void> readRequest()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit (maxHeaderBytes);
+        parser.body_limit (maxBodyBytes);
+        m_hasReadAhead = m_hasReadAhead || m_order.size() > 0;
+        m_isReading = true;
+        m_stream.expires_after (idleTimeout);
+        const auto [error, size] = co_await http::async_read (m_stream, m_buffer, parser, asTuple);
+        m_isReading = false;
+        m_hasBytes = false;
+
+        if (error && ! isProtocolError (error))
+            cancel (m_order.disconnect());
+        else if (! m_order.isOpen())
+            co_return; // the request is behind the last one that is answered
+        else if (error)
+            respondToError (error);
+        else
+            accept (parser.release());
+    }
+
+    void accept (http::request<http::string_body> message)
+    {
+        const auto version = message.version();
+        const bool isLast = ! message.keep_alive();
+        auto request = toRequest (std::move (message));
+        const auto& hooks = m_service->m_hooks;
+        const auto id = m_order.accept (hooks.m_mayRunAhead && hooks.m_mayRunAhead (request), isLast);
+        m_exchanges[id] = { std::move (request), version, {} };
+
+        if (m_order.size() > 1 && hooks.m_onReadAhead)
+            hooks.m_onReadAhead (m_order.size());
+
+        startRequests();
+    }
+
+    void respondToError (const beast::error_code& error)
+    {
+        m_hasReadError = true;
+        const auto id = m_order.accept (false, true);
+        m_exchanges[id] = {};
+        respond (id, m_service->m_hooks.m_onError (classify (error)));
     }
 
-    /** Passes a request to the hook and waits for the response, or for the client to disconnect. */
-    asio::awaitable<std::optional<HttpResponse>> exchange (beast::tcp_stream& stream, HttpRequest request)
+    /** Passes requests that may run now to the hook. */
+    void startRequests()
     {
-        const auto pending = std::make_shared<PendingExchange> (stream.get_executor());
-        stream.expires_never();
-        pending->m_onDisconnect =
-            m_hooks.m_onRequest (std::move (request), [pending] (HttpResponse response) {
-                pending->m_response = std::move (response);
-                pending->m_responseReady.cancel();
-            });
-
-        if (! pending->m_response.has_value())
+        while (const auto id = m_order.startNext())
         {
-            watchForDisconnect (stream, pending);
-            co_await pending->m_responseReady.async_wait (asTuple);
+            auto onDisconnect =
+                m_service->m_hooks.m_onRequest (std::move (m_exchanges.at (*id).m_request),
+                                                [weak = weak_from_this(), id = *id] (HttpResponse response) {
+                                                    if (const auto self = weak.lock())
+                                                        self->respond (id, std::move (response));
+                                                });
+
+            if (m_order.isRunning (*id))
+                m_exchanges.at (*id).m_onDisconnect = std::move (onDisconnect);
         }
+    }
+
+    void respond (ResponseOrder::Id id, HttpResponse response)
+    {
+        cancel (m_order.complete (id, std::move (response)));
+
+        writeNext();
+    }
 
-        pending->m_onDisconnect = nullptr;
-        co_return std::move (pending->m_response);
+    /** Writes the response to the first request if it is ready and none is being written. */
+    void writeNext()
+    {
+        auto next = m_order.release (m_service->m_closesAfterResponses);
+
+        if (! next.has_value())
+            return;
+
+        const auto exchange = m_exchanges.extract (next->m_id);
+        m_message = toMessage (std::move (next->m_response), exchange.mapped().m_version, ! next->m_isLast);
+        m_stream.expires_after (writeTimeout);
+        http::async_write (m_stream, m_message,
+                           [self = shared_from_this()] (const beast::error_code& error, std::size_t) {
+                               self->onWritten (error);
+                           });
     }
 
-    /** Detects that the client closed its connection. Bytes of a pipelined request stay unread. */
-    static void watchForDisconnect (beast::tcp_stream& stream,
-                                    const std::shared_ptr<PendingExchange>& pending)
+    void onWritten (const beast::error_code& error)
     {
-        auto& socket = stream.socket();
-        socket.async_wait (tcp::socket::wait_read, [&stream, weak = std::weak_ptr (pending)] (
-                                                       const boost::system::error_code& error) {
-            const auto exchange = weak.lock();
+        m_message = {};
+        m_order.onWritten();
 
-            if (exchange == nullptr || exchange->m_response.has_value() || exchange->m_isDisconnected)
-                return;
+        if (error)
+            cancel (m_order.disconnect());
 
-            const auto state = error ? error : peekByte (stream.socket());
+        startRequests();
+        writeNext();
+        endReadIfFinished();
+        m_changed.cancel();
+    }
 
-            if (state == asio::error::would_block)
-                return watchForDisconnect (stream, exchange);
+    void cancel (const std::vector<ResponseOrder::Id>& ids)
+    {
+        std::vector<std::function<void()>> callbacks;
 
-            if (! state)
-                return;
+        // A callback may lead to a response on this connection, so that the exchanges are removed first.
+        for (const auto id : ids)
+            if (auto exchange = m_exchanges.extract (id); exchange.mapped().m_onDisconnect)
+                callbacks.push_back (std::move (exchange.mapped().m_onDisconnect));
 
-            if (auto onDisconnect = std::exchange (exchange->m_onDisconnect, nullptr))
-                onDisconnect();
+        for (const auto& callback : callbacks)
+            callback();
 
-            exchange->m_isDisconnected = true;
-            exchange->m_responseReady.cancel();
-        });
+        m_changed.cancel();
     }
 
-    /** Peeks at one byte without blocking, since the socket may be reported as readable for bytes that
-        have been read since.
-
-        @returns no error if a byte is available, would_block if there is none yet, else the socket's error
-    */
-    static boost::system::error_code peekByte (tcp::socket& socket)
+    /** Ends a read of a request that will not be answered. */
+    void endReadIfFinished()
     {
-        boost::system::error_code error;
-        socket.non_blocking (true, error);
+        if (! m_isReading || ! m_order.isFinished())
+            return;
 
-        if (error)
-            return error;
+        shutdownSend (m_stream);
+        m_stream.cancel();
+    }
 
-        char byte = 0;
-        socket.receive (asio::buffer (&byte, 1), tcp::socket::message_peek, error);
-        return error;
+    /** Detects that the client closed its connection or sent further bytes, which stay unread. */
+    void watchForDisconnect()
+    {
+        if (m_isWatching || m_hasBytes)
+            return;
+
+        m_isWatching = true;
+        m_stream.socket().async_wait (tcp::socket::wait_read,
+                                      [weak = weak_from_this()] (const boost::system::error_code& error) {
+                                          if (const auto self = weak.lock())
+                                              self->onReadable (error);
+                                      });
     }
 
-    asio::awaitable<void> respondToError (beast::tcp_stream& stream, beast::error_code error)
+    void onReadable (const boost::system::error_code& error)
     {
-        const bool isProtocolError =
-            error.category() == http::make_error_code (http::error::bad_value).category();
+        m_isWatching = false;
 
-        if (! isProtocolError || error == http::error::end_of_stream || error == http::error::partial_message)
-            co_return;
+        if (m_isReading)
+            return;
+
+        const auto state = error ? error : peekByte (m_stream.socket());
+
+        if (state == asio::error::would_block)
+            return watchForDisconnect();
+
+        if (state)
+            return cancel (m_order.disconnect());
 
-        auto message = toMessage (m_hooks.m_onError (classify (error)), 11, false);
-        stream.expires_after (writeTimeout);
-        co_await http::async_write (stream, message, asTuple);
-        co_await discardUnread (stream);
+        m_hasBytes = true;
+        m_changed.cancel();
     }
 
-    /** Reads and discards the rest of a request: closing with unread bytes would reset the connection,
-        and the client might lose the response. */
-    static asio::awaitable<void> discardUnread (beast::tcp_stream& stream)
+    /** A client that sends requests ahead may have sent more than was read. */
+    bool mayHaveUnreadBytes()
     {
+        if (m_hasReadError || ! m_service->m_hooks.m_mayRunAhead)
+            return m_hasReadError;
+
         boost::system::error_code ignored;
-        stream.socket().shutdown (tcp::socket::shutdown_send, ignored);
-        stream.expires_after (discardTimeout);
-        std::array<char, 16384> bytes {};
+        return m_hasReadAhead || m_hasBytes || m_buffer.size() > 0 ||
+               m_stream.socket().available (ignored) > 0;
+    }
+
+    const std::shared_ptr<Service> m_service;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    asio::steady_timer m_changed; /**< cancelled to wake the coroutine that reads */
+    ResponseOrder m_order;
+    std::map<ResponseOrder::Id, Exchange> m_exchanges;
+    http::response<http::string_body> m_message; /**< being written */
+    bool m_isReading = false;
+    bool m_isWatching = false;
+    bool m_hasBytes = false; /**< whether unread bytes were seen in the socket */
+    bool m_hasReadAhead = false;
+    bool m_hasReadError = false; /**< whether a request could not be parsed */
+};
 
-        for (std::size_t discarded = 0; discarded < maxDiscardedBytes;)
+} // namespace
+
+//==============================================================================
+std::string_view nameOf (HttpServerError error) noexcept
+{
+    constexpr std::array<std::string_view, 3> names { "malformed", "header-too-large", "body-too-large" };
+    return names.at (static_cast<std::size_t> (error));
+}
+
+//==============================================================================
+struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation>
+{
+    Implementation (asio::io_context& context, Hooks hooks)
+        : m_context (context)
+        , m_acceptor (context)
+        , m_service (std::make_shared<Service> (Service { std::move (hooks) }))
+    {
+    }
+
+    asio::awaitable<void> acceptLoop()
+    {
+        const auto self = shared_from_this();
+
+        while (m_acceptor.is_open())
         {
-            const auto [error, size] = co_await stream.async_read_some (asio::buffer (bytes), asTuple);
+            auto [error, socket] = co_await m_acceptor.async_accept (asTuple);
 
-            if (error)
+            if (error == asio::error::operation_aborted || ! m_acceptor.is_open())
                 co_return;
 
-            discarded += size;
+            if (error)
+                continue;
+
+            boost::system::error_code ignored;
+            socket.set_option (tcp::no_delay (true), ignored);
+            asio::co_spawn (m_context,
+                            Connection::serve (std::make_shared<Connection> (m_service, std::move (socket))),
+                            asio::detached);
         }
     }
 
     asio::io_context& m_context;
     tcp::acceptor m_acceptor;
-    Hooks m_hooks;
-    bool m_closesAfterResponses = false;
+    const std::shared_ptr<Service> m_service;
 };
 
 //==============================================================================
@@ -303,7 +449,7 @@
 
 void HttpServer::closeAfterResponses()
 {
-    m_implementation->m_closesAfterResponses = true;
+    m_implementation->m_service->m_closesAfterResponses = true;
 }
 
 } // namespace plankledge
--- a/modules/plankledge_runtime/HttpServer.h
+++ b/modules/plankledge_runtime/HttpServer.h
@@ -31,7 +31,10 @@
     Serves HTTP/1.1 on one address with Boost.Beast.
 
     Header and body sizes are limited. The response to a request may be sent at any later time, on the same
-    thread; the server reports a client that disconnects before that.
+    thread; the server reports a client that disconnects before that. Responses are written in the order of
+   the requests.
+
+    @see ResponseOrder
 */
 class HttpServer
 {
@@ -44,12 +47,21 @@
     {
         /** Handles a complete request. Respond must be called exactly once.
 
-            @returns a callback for a client that disconnects before the response, or an empty function
+            @returns a callback for a client that disconnects before the response, or whose connection closes
+                     after the response to an earlier request; or an empty function
         */
         std::function<std::function<void()> (HttpRequest, Respond)> m_onRequest;
 
         /** Makes the response to a request that cannot be parsed. */
         std::function<HttpResponse (HttpServerError)> m_onError;
+
+        /** Whether a request may run at the same time as others of its connection for which this holds too.
+            If empty, a connection's next request is read after the response to the previous one. */
+        std::function<bool (const HttpRequest&)> m_mayRunAhead = nullptr;
+
+        /** Called for a request that was read while earlier ones of its connection were unanswered, with the
+            number of these and itself. May be empty. */
+        std::function<void (std::size_t)> m_onReadAhead = nullptr;
     };
 
     HttpServer (boost::asio::io_context& context, Hooks hooks);
@@ -64,7 +76,8 @@
     /** Stops accepting connections. Open connections are still served. */
     void stopListening();
 
-    /** Closes each connection after its next response. */
+    /** Closes each connection after the responses to the requests already read, or after its next response if
+        there are none. */
     void closeAfterResponses();
 
 private:
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -202,6 +202,8 @@
 
     appendRequestCounters (text, reducer.counters());
     appendEdgeCounters (text, metrics, traffic);
+    appendCounter (text, "requests_read_ahead_total", metrics.m_requestsReadAhead);
+    appendGauge (text, "max_requests_on_connection", static_cast<double> (metrics.m_maxRequestsOnConnection));
     appendGauge (text, "configuration_version", static_cast<double> (relay.routes().version()));
     appendGauge (text, "members", static_cast<double> (relay.peers().size()));
     appendGauge (text, "requests_at_entry", static_cast<double> (relay.entry().size()));
--- a/modules/plankledge_runtime/RelayCallerEdge.cpp
+++ b/modules/plankledge_runtime/RelayCallerEdge.cpp
@@ -2,6 +2,8 @@
 
 #include "plankledge_runtime/CallerEdge.h"
 
+#include <algorithm>
+
 namespace plankledge
 {
 
@@ -16,6 +18,12 @@
                            [this] (HttpServerError error) {
                                ++m_metrics.m_badHttp[error];
                                return makeHttpError (error);
+                           },
+                           [] (const HttpRequest& request) { return isSafeMethod (request.m_method); },
+                           [this] (std::size_t requests) {
+                               ++m_metrics.m_requestsReadAhead;
+                               m_metrics.m_maxRequestsOnConnection =
+                                   std::max (m_metrics.m_maxRequestsOnConnection, requests);
                            } })
 {
 }
@@ -52,9 +60,13 @@
     m_metrics.m_requestTime.add (BootClock::now() - found->second.m_receivedAt);
     const auto pending = std::move (found->second);
     m_pendingRequests.erase (found);
-    auto response = m_hooks.m_encode (pending.m_requestId, effect.m_result);
-    response.m_closesConnection = effect.m_closesConnection;
-    pending.m_respond (std::move (response));
+
+    // The node is stopping. Closing after this response would cancel the requests behind it on its
+    // connection, which may be running at targets.
+    if (effect.m_closesConnection)
+        m_server.closeAfterResponses();
+
+    pending.m_respond (m_hooks.m_encode (pending.m_requestId, effect.m_result));
 }
 
 } // namespace plankledge
--- a/tests/contracts/HttpServer_test.cpp
+++ b/tests/contracts/HttpServer_test.cpp
@@ -1,12 +1,24 @@
 #include "plankledge_runtime/HttpServer.h"
 
+#include <algorithm>
 #include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <chrono>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <map>
+#include <mutex>
 #include <thread>
 
 namespace plankledge::test
@@ -154,4 +166,507 @@
     CHECK (server->m_disconnects == 1);
 }
 
+//==============================================================================
+namespace
+{
+
+namespace http = boost::beast::http;
+using Clock = std::chrono::steady_clock;
+using Targets = std::vector<std::string>;
+
+/** A test that takes longer than this has failed. */
+constexpr std::chrono::seconds maxWait { 10 };
+
+/** Requests for "/D/NAME" are answered after D ms with their target; "/D/close" with an answer that closes
+   the connection, "/D/large" with a body of maxBodyBytes. Runs in a thread of its own. */
+class PipelineServer
+{
+public:
+    explicit PipelineServer (bool mayRunAhead = true)
+        : m_server (m_context, makeHooks (mayRunAhead))
+        , m_endpoint (freeEndpoint())
+    {
+        REQUIRE (m_server.listen (m_endpoint).ok());
+        m_thread = std::thread ([this] { m_context.run(); });
+    }
+
+    ~PipelineServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    const Endpoint& endpoint() const { return m_endpoint; }
+
+    void drain()
+    {
+        asio::post (m_context, [this] { m_server.closeAfterResponses(); });
+    }
+
+    /** @returns the targets of requests passed to the handler */
+    Targets started() { return read (m_started); }
+
+    /** @returns the targets of requests whose client disconnected */
+    Targets cancelled() { return read (m_cancelled); }
+
+    /** @returns the maximum number of requests that ran at the same time */
+    std::size_t maxRunning() { return read (m_maxRunning); }
+
+    /** @returns the largest number that was reported for a request that was read ahead */
+    std::size_t maxReadAhead() { return read (m_maxReadAhead); }
+
+    /** Waits until as many requests have been cancelled. */
+    bool waitForCancelled (std::size_t count)
+    {
+        return waitFor ([this, count] { return cancelled().size() >= count; });
+    }
+
+    /** Waits until as many requests have been passed to the handler. */
+    bool waitForStarted (std::size_t count)
+    {
+        return waitFor ([this, count] { return started().size() >= count; });
+    }
+
+private:
+    HttpServer::Hooks makeHooks (bool mayRunAhead)
+    {
+        HttpServer::Hooks hooks;
+        hooks.m_onRequest = [this] (const HttpRequest& received, const HttpServer::Respond& respond) {
+            return onRequest (received, respond);
+        };
+        hooks.m_onError = [] (HttpServerError error) {
+            HttpResponse response;
+            response.m_status = 400;
+            response.m_body = std::string (nameOf (error));
+            return response;
+        };
+
+        if (! mayRunAhead)
+            return hooks;
+
+        hooks.m_mayRunAhead = [] (const HttpRequest& received) { return isSafeMethod (received.m_method); };
+        hooks.m_onReadAhead = [this] (std::size_t requests) {
+            const std::lock_guard lock (m_mutex);
+            m_maxReadAhead = std::max (m_maxReadAhead, requests);
+        };
+        return hooks;
+    }
+
+    std::function<void()> onRequest (const HttpRequest& received, const HttpServer::Respond& respond)
+    {
+        const auto target = received.m_target;
+        const auto id = m_nextId++;
+        const std::lock_guard lock (m_mutex);
+        m_started.push_back (target);
+        auto& timer = m_timers.try_emplace (id, m_context).first->second;
+        m_maxRunning = std::max (m_maxRunning, m_timers.size());
+        timer.expires_after (milliseconds (std::stoi (target.substr (1))));
+        timer.async_wait ([this, id, target, respond] (const boost::system::error_code& error) {
+            {
+                const std::lock_guard timersLock (m_mutex);
+                m_timers.erase (id);
+            }
+
+            if (! error)
+                respond (makeResponse (target));
+        });
+        return [this, id, target] {
+            const std::lock_guard cancelledLock (m_mutex);
+            m_cancelled.push_back (target);
+
+            if (const auto found = m_timers.find (id); found != m_timers.end())
+                found->second.cancel();
+        };
+    }
+
+    static HttpResponse makeResponse (const std::string& target)
+    {
+        HttpResponse response;
+        response.m_body =
+            target.find ("/large") != std::string::npos ? std::string (maxBodyBytes, 'a') : target;
+        response.m_closesConnection = target.ends_with ("/close");
+        return response;
+    }
+
+    template <class Condition> static bool waitFor (const Condition& condition)
+    {
+        for (const auto end = Clock::now() + maxWait; Clock::now() < end;
+             std::this_thread::sleep_for (milliseconds (5)))
+            if (condition())
+                return true;
+
+        return false;
+    }
+
+    template <class Value> Value read (const Value& value)
+    {
+        const std::lock_guard lock (m_mutex);
+        return value;
+    }
+
+    asio::io_context m_context { 1 };
+    HttpServer m_server;
+    Endpoint m_endpoint;
+    std::mutex m_mutex;
+    std::map<int, asio::steady_timer> m_timers;
+    Targets m_started;
+    Targets m_cancelled;
+    std::size_t m_maxRunning = 0;
+    std::size_t m_maxReadAhead = 0;
+    int m_nextId = 0;
+    std::thread m_thread;
+};
+
+std::string get (std::string_view target)
+{
+    return fmt::format ("GET {} HTTP/1.1\r\nHost: a\r\n\r\n", target);
+}
+
+std::string post (std::string_view target)
+{
+    return fmt::format ("POST {} HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{{}}", target);
+}
+
+/** What a client read. */
+struct Received
+{
+    Targets m_bodies;
+    std::vector<bool> m_keepAlive;
+    boost::system::error_code m_end; /**< why it read no further; none if it has all */
+    milliseconds m_time { 0 };       /**< from the start of reading */
+};
+
+/** Reads responses, up to a number. Large bodies are shortened to their size. */
+Received readResponses (Client& client, std::size_t count)
+{
+    Received received;
+    const auto start = Clock::now();
+    const auto readAll = [&]() -> asio::awaitable<void> {
+        boost::beast::flat_buffer buffer;
+
+        while (received.m_bodies.size() < count)
+        {
+            http::response<http::string_body> message;
+            const auto [error, size] = co_await http::async_read (client.m_socket, buffer, message,
+                                                                  asio::as_tuple (asio::use_awaitable));
+            received.m_end = error;
+
+            if (error)
+                break;
+
+            const auto& body = message.body();
+            received.m_bodies.push_back (body.size() > 100 ? std::to_string (body.size()) : body);
+            received.m_keepAlive.push_back (message.keep_alive());
+        }
+    };
+    asio::co_spawn (client.m_context, readAll, asio::detached);
+    client.m_context.restart();
+    client.m_context.run_for (maxWait);
+    received.m_time = std::chrono::duration_cast<milliseconds> (Clock::now() - start);
+    return received;
+}
+
+/** More than any test expects, so that the client reads until the connection ends. */
+constexpr std::size_t untilEnd = 100000;
+
+const auto endOfStream = make_error_code (http::error::end_of_stream);
+
+} // namespace
+
+TEST_CASE ("requests sent ahead run at the same time and are answered in order")
+{
+    PipelineServer server;
+    Client client (server.endpoint());
+
+    SUBCASE ("of equal duration")
+    {
+        client.write (get ("/100/a") + get ("/100/b") + get ("/100/c") + get ("/100/d"));
+        const auto received = readResponses (client, 4);
+        CHECK (received.m_bodies == Targets { "/100/a", "/100/b", "/100/c", "/100/d" });
+        MESSAGE ("four requests of 100 ms took ", received.m_time.count(), " ms");
+        CHECK (received.m_time < milliseconds (300)); // 400 ms if they run one after the other
+        CHECK (server.maxRunning() == 4);
+        CHECK (server.maxReadAhead() == 4);
+    }
+
+    SUBCASE ("behind a slow one")
+    {
+        client.write (get ("/200/a") + get ("/0/b") + get ("/50/c"));
+        const auto received = readResponses (client, 3);
+        CHECK (received.m_bodies == Targets { "/200/a", "/0/b", "/50/c" });
+        CHECK (received.m_keepAlive == std::vector<bool> { true, true, true });
+    }
+
+    SUBCASE ("sent one by one while the first runs, in parts")
+    {
+        client.write (get ("/200/a"));
+        REQUIRE (server.waitForStarted (1));
+        const auto second = get ("/0/b");
+        client.write (second.substr (0, 10));
+        std::this_thread::sleep_for (milliseconds (20));
+        client.write (second.substr (10));
+        REQUIRE (server.waitForStarted (2));
+        CHECK (readResponses (client, 2).m_bodies == Targets { "/200/a", "/0/b" });
+        CHECK (server.maxRunning() == 2);
+    }
+
+    SUBCASE ("an answer does not wait for the rest of the next request")
+    {
+        const auto second = get ("/0/b");
+        client.write (get ("/20/a") + second.substr (0, 10));
+        CHECK (readResponses (client, 1).m_bodies == Targets { "/20/a" });
+        client.write (second.substr (10));
+        CHECK (readResponses (client, 1).m_bodies == Targets { "/0/b" });
+    }
+
+    CHECK (server.cancelled().empty());
+}
+
+TEST_CASE ("without the hook, requests sent ahead run one at a time")
+{
+    PipelineServer server (false);
+    Client client (server.endpoint());
+    client.write (get ("/100/a") + get ("/100/b") + get ("/100/c") + get ("/100/d"));
+    const auto received = readResponses (client, 4);
+    CHECK (received.m_bodies == Targets { "/100/a", "/100/b", "/100/c", "/100/d" });
+    MESSAGE ("four requests of 100 ms took ", received.m_time.count(), " ms");
+    CHECK (server.maxRunning() == 1);
+    CHECK (server.maxReadAhead() == 0);
+}
+
+TEST_CASE ("a thousand requests sent ahead are read within bounds")
+{
+    PipelineServer server;
+    Client client (server.endpoint());
+    std::string requests;
+    Targets targets;
+
+    for (int index = 0; index < 1000; ++index)
+    {
+        targets.push_back (fmt::format ("/{}/{}", index % 3, index));
+        requests += get (targets.back());
+    }
+
+    client.write (requests);
+    CHECK (readResponses (client, 1000).m_bodies == targets);
+    CHECK (server.started() == targets);
+    CHECK (server.maxRunning() <= 8);
+    CHECK (server.maxReadAhead() == 8);
+}
+
+TEST_CASE ("a client that does not read its responses is not read further")
+{
+    PipelineServer server;
+    Client client (server.endpoint());
+    std::string requests;
+
+    for (int index = 0; index < 100; ++index)
+        requests += get ("/0/large");
+
+    client.write (requests);
+    REQUIRE (server.waitForStarted (1));
+    std::this_thread::sleep_for (milliseconds (300));
+
+    // The kernel takes some megabytes of responses; few requests are read beyond these.
+    CHECK (server.started().size() < 50);
+    const auto received = readResponses (client, 100);
+    CHECK (received.m_bodies == Targets (100, std::to_string (maxBodyBytes)));
+}
+
+TEST_CASE ("a request that is not repeatable runs alone")
+{
+    PipelineServer server;
+    Client client (server.endpoint());
+
+    SUBCASE ("behind others")
+    {
+        client.write (get ("/80/a") + get ("/20/b") + post ("/0/c") + get ("/0/d"));
+        REQUIRE (server.waitForStarted (2));
+        std::this_thread::sleep_for (milliseconds (40));
+        CHECK (server.started() == Targets { "/80/a", "/20/b" });
+        CHECK (readResponses (client, 4).m_bodies == Targets { "/80/a", "/20/b", "/0/c", "/0/d" });
+    }
+
+    SUBCASE ("in front of others")
+    {
+        client.write (post ("/80/a") + get ("/0/b") + get ("/0/c"));
+        REQUIRE (server.waitForStarted (1));
+        std::this_thread::sleep_for (milliseconds (40));
+        CHECK (server.started() == Targets { "/80/a" });
+        CHECK (readResponses (client, 3).m_bodies == Targets { "/80/a", "/0/b", "/0/c" });
+    }
+
+    SUBCASE ("several")
+    {
+        client.write (post ("/10/a") + post ("/0/b") + post ("/5/c"));
+        CHECK (readResponses (client, 3).m_bodies == Targets { "/10/a", "/0/b", "/5/c" });
+        CHECK (server.maxRunning() == 1);
+    }
+}
+
+TEST_CASE ("a response that closes is the last, and requests behind it are cancelled")
+{
+    PipelineServer server;
+    Client client (server.endpoint());
+    std::string unread;
+
+    // More than the 8 requests that are read: closing with unread bytes must not lose the responses.
+    for (int index = 0; index < 2000; ++index)
+        unread += get ("/0/unread");
+
+    SUBCASE ("with requests running behind it")
+    {
+        client.write (get ("/100/a") + get ("/50/close") + get ("/5000/c") + get ("/5000/d") + unread);
+        const auto received = readResponses (client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/100/a", "/50/close" });
+        CHECK (received.m_keepAlive == std::vector<bool> { true, false });
+        CHECK (received.m_end == endOfStream);
+        CHECK (server.cancelled() == Targets { "/5000/c", "/5000/d" });
+        CHECK (server.started().size() <= 8);
+    }
+
+    SUBCASE ("with a body that the client reads late")
+    {
+        client.write (get ("/0/a") + get ("/50/large/close") + unread);
+        std::this_thread::sleep_for (milliseconds (300));
+        const auto received = readResponses (client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/0/a", std::to_string (maxBodyBytes) });
+        CHECK (received.m_end == endOfStream);
+        CHECK (server.started().size() <= 9); // one was answered before
+    }
+}
+
+TEST_CASE ("a client that disconnects cancels each running request once")
+{
+    PipelineServer server;
+    auto client = std::make_unique<Client> (server.endpoint());
+
+    SUBCASE ("with all requests read")
+    {
+        client->write (get ("/5000/a") + get ("/0/b") + get ("/5000/c") + post ("/0/d"));
+        REQUIRE (server.waitForStarted (3));
+        std::this_thread::sleep_for (milliseconds (20));
+        client.reset();
+    }
+
+    SUBCASE ("in the middle of a request")
+    {
+        client->write (get ("/5000/a") + get ("/0/b") + get ("/5000/c") + "GET /0/d HT");
+        REQUIRE (server.waitForStarted (3));
+        std::this_thread::sleep_for (milliseconds (20));
+        client.reset();
+    }
+
+    REQUIRE (server.waitForCancelled (2));
+    std::this_thread::sleep_for (milliseconds (50));
+    CHECK (server.cancelled() == Targets { "/5000/a", "/5000/c" });
+    CHECK (server.started() == Targets { "/5000/a", "/0/b", "/5000/c" });
+}
+
+TEST_CASE ("a server that drains answers what was read and closes with the last response")
+{
+    PipelineServer server;
+    Client client (server.endpoint());
+
+    SUBCASE ("running and held requests")
+    {
+        client.write (get ("/150/a") + get ("/100/b") + post ("/0/c"));
+        REQUIRE (server.waitForStarted (2));
+        std::this_thread::sleep_for (milliseconds (20));
+        server.drain();
+        client.write (get ("/0/d"));
+        const auto received = readResponses (client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/150/a", "/100/b", "/0/c" });
+        CHECK (received.m_keepAlive == std::vector<bool> { true, true, false });
+        CHECK (received.m_end == endOfStream);
+    }
+
+    SUBCASE ("while half of a request is there")
+    {
+        client.write (get ("/150/a") + get ("/100/b") + "GET /0/c HT");
+        REQUIRE (server.waitForStarted (2));
+        std::this_thread::sleep_for (milliseconds (20));
+        server.drain();
+        const auto received = readResponses (client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/150/a", "/100/b" });
+        CHECK (received.m_keepAlive == std::vector<bool> { true, false });
+        CHECK (received.m_end == endOfStream);
+        CHECK (received.m_time < std::chrono::seconds (2));
+    }
+
+    SUBCASE ("with more requests than are read")
+    {
+        std::string requests;
+
+        for (int index = 0; index < 1000; ++index)
+            requests += get ("/100/a");
+
+        client.write (requests);
+        REQUIRE (server.waitForStarted (8));
+        server.drain();
+        const auto received = readResponses (client, untilEnd);
+        CHECK (received.m_bodies.size() == server.started().size());
+        CHECK (received.m_bodies.size() < 1000);
+        CHECK_FALSE (received.m_keepAlive.back());
+        CHECK (received.m_end == endOfStream);
+    }
+
+    SUBCASE ("an idle connection is closed after its next response")
+    {
+        client.write (get ("/0/a"));
+        CHECK (readResponses (client, 1).m_keepAlive == std::vector<bool> { true });
+        server.drain();
+        std::this_thread::sleep_for (milliseconds (20));
+        client.write (get ("/0/b"));
+        const auto received = readResponses (client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/0/b" });
+        CHECK (received.m_keepAlive == std::vector<bool> { false });
+        CHECK (received.m_end == endOfStream);
+    }
+
+    CHECK (server.cancelled().empty());
+}
+
+TEST_CASE ("a request that can't be parsed is answered in its turn and closes the connection")
+{
+    PipelineServer server;
+    Client client (server.endpoint());
+    std::string unread;
+
+    for (int index = 0; index < 2000; ++index)
+        unread += get ("/0/unread");
+
+    client.write (get ("/100/a") + get ("/50/b") + "no request\r\n\r\n" + unread);
+    const auto received = readResponses (client, untilEnd);
+    CHECK (received.m_bodies == Targets { "/100/a", "/50/b", "malformed" });
+    CHECK (received.m_keepAlive == std::vector<bool> { true, true, false });
+    CHECK (received.m_end == endOfStream);
+    CHECK (server.started() == Targets { "/100/a", "/50/b" });
+    CHECK (server.cancelled().empty());
+}
+
+TEST_CASE ("a request that asks to close is the last one, and its client's disconnect is detected")
+{
+    PipelineServer server;
+    auto client = std::make_unique<Client> (server.endpoint());
+
+    SUBCASE ("answered")
+    {
+        client->write (get ("/50/a") + "GET /20/b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" +
+                       get ("/0/c"));
+        const auto received = readResponses (*client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/50/a", "/20/b" });
+        CHECK (received.m_end == endOfStream);
+        CHECK (server.started() == Targets { "/50/a", "/20/b" });
+    }
+
+    SUBCASE ("disconnected")
+    {
+        client->write ("GET /5000/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        REQUIRE (server.waitForStarted (1));
+        client.reset();
+        CHECK (server.waitForCancelled (1));
+    }
+}
+
 } // namespace plankledge::test
