Latency-tolerant chains: no preference among targets with free slots, and slow targets are learned again

A target that had been slow kept a share of 0.01 after it worked as usual again. Change: the penalty of used slots begins at 0.8 of the slots; service times below half of the objective count as equal; no jitter, since the candidates are random. The check of refusals in the test is now 0; a check of that share is new.

--- a/modules/plankledge_policy/relay/entry/TargetSelection.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.cpp
@@ -15,9 +15,15 @@
 /** The penalty of a target in another zone is the latency objective divided by this. */
 constexpr int zonePenaltyDivisor = 5;
 
-/** Penalty of a target for a latency-tolerant chain if all its slots are used; proportional to their share.
-    Half of the smallest penalty of another zone, so that it does not by itself send requests there. Targets
-    near their limit are filled last, because they slow down when nearly full (from 0.95 of the slots). */
+/** Share of used slots from which a target has a penalty for latency-tolerant chains. A status is as old as
+    many requests take: a preference among targets with free slots would send all requests of a period to
+    those that were the emptiest before it. */
+constexpr double freeUntilShare = 0.8;
+
+/** Penalty of a target for a latency-tolerant chain if all its slots are used; proportional to the share
+    above freeUntilShare. Half of the smallest penalty of another zone, so that it does not by itself send
+    requests there. Targets near their limit are filled last, because they slow down when nearly full (from
+    0.95 of the slots). */
 constexpr Duration usedSlotsPenalty = Milliseconds (25);
 
 /** Penalty of a target for a latency-tolerant chain if it sheds all requests; proportional to the share that
@@ -34,13 +40,16 @@
 constexpr int fastEnoughDivisor = 8;
 
 /** The same for latency-tolerant chains. Their candidates are drawn by the rate of their targets, so that a
-    further preference for the fastest would send these more than they can run. */
-constexpr int tolerantFastEnoughDivisor = 4;
+    further preference for the fastest would send these more than they can run, and a target that was slow for
+    a while would get too few requests for its time to be learned again. Half of the objective is left for
+    queueing and for calls. */
+constexpr int tolerantFastEnoughDivisor = 2;
 
 /** Service times are also added divided by this, to prefer the faster of several fast targets. */
 constexpr int speedPreferenceDivisor = 4;
 
-/** Upper bound of the random jitter on expected times, in percent. */
+/** Upper bound of the random jitter on expected times, in percent. Latency-tolerant chains have none: their
+    candidates are random already, and it would outweigh usedSlotsPenalty. */
 constexpr std::uint64_t maxJitterPercent = 10;
 
 /** One of this many selections, on average, probes a random target of the own zone. */
@@ -72,7 +81,8 @@
         return {};
 
     const auto slots = std::max (1U, peer.m_gate.m_limit);
-    return scaled (usedSlotsPenalty, std::min (1.0, static_cast<double> (peer.load()) / slots));
+    const auto share = std::min (1.0, static_cast<double> (peer.load()) / slots);
+    return scaled (usedSlotsPenalty, std::max (0.0, share - freeUntilShare) / (1.0 - freeUntilShare));
 }
 
 Duration penaltyOf (const Peer& peer, const TargetCriteria& criteria) noexcept
@@ -136,7 +146,9 @@
         if (criteria.m_tried.contains (peer->m_member.m_id.m_instance))
             continue;
 
-        const auto jitter = 1.0 + static_cast<double> (random.below (maxJitterPercent)) / 100.0;
+        const auto jitter = criteria.m_isTolerantChain
+                                ? 1.0
+                                : 1.0 + static_cast<double> (random.below (maxJitterPercent)) / 100.0;
         const auto cost = scaled (expectedTime (*peer, criteria), jitter) + penaltyOf (*peer, criteria);
 
         if (best != nullptr && cost >= bestCost)
--- a/tests/relay/entry/CandidateSampling_test.cpp
+++ b/tests/relay/entry/CandidateSampling_test.cpp
@@ -1,5 +1,7 @@
 #include "plankledge_policy/relay/entry/CandidateSampling.h"
 
+#include "plankledge_policy/relay/entry/OfferPolicy.h"
+
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
@@ -40,7 +42,7 @@
 
 TargetCriteria criteriaOf (std::set<InstanceName> tried = {})
 {
-    return { "zone-a", "route", std::chrono::seconds (2), std::move (tried), {} };
+    return { "zone-a", "route", std::chrono::seconds (2), std::move (tried), {}, true };
 }
 
 std::map<InstanceName, double> sharesOfSamples (const std::vector<Peer>& peers)
@@ -57,21 +59,33 @@
     return shares;
 }
 
-/** Entry nodes that select targets by their own counts since the last status, which all of them receive at
-    the same time. */
+/** Entry nodes that select targets by a status that all of them receive at the same time, and by their own
+    requests since then. */
 struct Fleet
 {
     static constexpr unsigned targets = 40;
     static constexpr unsigned entries = 80;
-    static constexpr unsigned requestsPerPeriod = 800; /**< half of what the targets can run */
+    static constexpr Duration period = Milliseconds (500); /**< between statuses */
+    static constexpr unsigned requestsPerPeriod = 800;     /**< 0.55 of what the targets can run */
     static constexpr unsigned periods = 10;
 
-    /** @returns the most requests that a target got in a period, over the mean */
-    static double maxOverMean (bool isSampled)
+    static Duration timeAt (unsigned target) { return Milliseconds (200 + target % 3 * 100); }
+
+    /** @returns the requests that a target can run in a period */
+    static double capacityOf (unsigned target)
+    {
+        return static_cast<double> (slots) * static_cast<double> (period.count()) /
+               static_cast<double> (timeAt (target).count());
+    }
+
+    /** @returns the largest load of a target in a period, as a fraction of what it can run */
+    static double largestLoad (bool isTolerant)
     {
         Random random (3);
-        double highest = 0.0;
-        std::vector<std::uint32_t> running (targets, 0);
+        double largest = 0.0;
+        std::vector<double> loads (targets, 0.0);
+        auto criteria = criteriaOf();
+        criteria.m_isTolerantChain = isTolerant;
 
         for (unsigned period = 0; period < periods; ++period)
         {
@@ -80,34 +94,31 @@
             for (auto& view : views)
                 for (unsigned target = 0; target < targets; ++target)
                 {
-                    view.push_back (makePeer (target, Milliseconds (200 + target % 3 * 100)));
-                    view.back().m_gate.m_inGate = running[target];
+                    view.push_back (makePeer (target, timeAt (target)));
+                    view.back().m_gate.m_inGate = static_cast<std::uint32_t> (loads[target] * slots);
                 }
 
-            std::map<InstanceName, std::uint32_t> arrivals;
+            std::vector<unsigned> arrivals (targets, 0);
 
             for (unsigned request = 0; request < requestsPerPeriod; ++request)
             {
                 auto& view = views[random.below (entries)];
                 const auto all = pointersTo (view);
-                const auto sample = isSampled ? sampleCandidates (all, criteriaOf(), random) : all;
-                const auto name = selectTarget (sample, criteriaOf(), random)->m_member.m_id.m_instance;
-                ++arrivals[name];
-                const auto chosen = std::find_if (view.begin(), view.end(), [&] (const auto& peer) {
-                    return peer.m_member.m_id.m_instance == name;
-                });
-                ++chosen->m_sentSinceStatus;
+                const auto* selected = selectTarget (
+                    isTolerant ? sampleCandidates (all, criteria, random) : all, criteria, random);
+                const auto target = static_cast<std::size_t> (selected - view.data());
+                ++arrivals[target];
+                ++view[target].m_sentSinceStatus;
             }
 
             for (unsigned target = 0; target < targets; ++target)
             {
-                running[target] = arrivals[makePeer (target, {}).m_member.m_id.m_instance];
-                highest =
-                    std::max (highest, static_cast<double> (running[target]) * targets / requestsPerPeriod);
+                loads[target] = arrivals[target] / capacityOf (target);
+                largest = std::max (largest, loads[target]);
             }
         }
 
-        return highest;
+        return largest;
     }
 };
 
@@ -116,14 +127,13 @@
 // Guards against overload of a few targets while others are idle, when many entry nodes hold the same status.
 TEST_CASE ("Entry nodes with the same status don't send all requests to the same targets")
 {
-    const auto withAll = Fleet::maxOverMean (false);
-    const auto withSample = Fleet::maxOverMean (true);
-    CAPTURE (withAll);
-    MESSAGE ("busiest target over the mean: ", withAll, " without sampling, ", withSample, " with");
-
-    // The targets can run twice the mean.
-    CHECK (withSample < 2.0 * 1.5);
-    CHECK (withSample < withAll);
+    const auto withAll = Fleet::largestLoad (false);
+    const auto withSample = Fleet::largestLoad (true);
+    MESSAGE ("largest load of a target in a period: ", withAll, " without sampling, ", withSample, " with");
+
+    // What the busiest target can't run within the period must fit into the queueing time of a short offer.
+    const auto longestOffer = static_cast<double> (OfferPolicy::maxShortQueueTime.count());
+    CHECK (withSample <= 1.0 + longestOffer / static_cast<double> (Fleet::period.count()));
 }
 
 // Guards against slow targets that get as many requests as fast ones.
--- a/tests/relay/entry/OfferPolicy_test.cpp
+++ b/tests/relay/entry/OfferPolicy_test.cpp
@@ -550,19 +550,28 @@
 constexpr int slowUntil = 10;
 constexpr int periods = 16;
 
+/** Shares of the requests that reached a target in a period. */
+struct Shares
+{
+    double m_smallest = 1.0;
+    double m_largest = 0.0;
+    double m_recovered = 0.0;
+};
+
 /** Sends requests at a constant rate for periods of half a second. Prints the shares of the targets and the
     number of refusals in each period.
 
     @param perStep        requests in each 50 ms; the five targets run 11 to 12 in that time
     @param changesSpeed   whether the first target is slow at times
 
-    @returns the smallest and the largest share of a target before the first change of speed */
-std::pair<double, double> applyLoad (BurstSite& site, int perStep, bool changesSpeed)
+    @returns the smallest and the largest share of a target before the first change of speed, and the share of
+    the first target in the last second, 2 s after it works as usual again */
+Shares applyLoad (BurstSite& site, int perStep, bool changesSpeed)
 {
     auto redirects = site.busyRedirects();
     auto refused = site.refused();
     int next = 0;
-    std::pair<double, double> range { 1.0, 0.0 };
+    Shares shares;
 
     for (int period = 0; period < periods; ++period)
     {
@@ -595,7 +604,13 @@
             const auto share = runs / (perStep * 10.0);
 
             if (period < slowFrom)
-                range = { std::min (range.first, share), std::max (range.second, share) };
+            {
+                shares.m_smallest = std::min (shares.m_smallest, share);
+                shares.m_largest = std::max (shares.m_largest, share);
+            }
+
+            if (period >= periods - 2 && std::string_view (name) == "one")
+                shares.m_recovered += share / 2.0;
         }
     }
 
@@ -603,7 +618,7 @@
     CHECK (site.completed() + site.refused() == static_cast<int> (site.m_sent.size()));
     CHECK (site.isEachRunOnce());
     CHECK (site.retries() == 0);
-    return range;
+    return shares;
 }
 
 } // namespace
@@ -611,8 +626,8 @@
 // Guards against oscillation: 40 entries hold the same information, which is older than a round trip, and one
 // target changes its speed by a factor of 2.5 within a second. The bound on redirects is that of the policy:
 // three offers a request, in each half second. Without the policy, entries alternate between the targets
-// (shares of 0.00 to 0.29 at equal speeds). Shares are checked only before the first change of speed: after
-// it, the first target keeps a share of at most 0.01, also in the 3 s in which it works as usual again.
+// (shares of 0.00 to 0.29 at equal speeds). Also guards against a target that was slow and gets too few
+// requests for its time to be learned again: within 2 s it must have half of its even share.
 TEST_CASE ("entries with the same information keep the shares of the targets even")
 {
     constexpr int entries = 40;
@@ -624,7 +639,7 @@
     for (const bool isTolerant : { false, true })
     {
         BurstSite site (isTolerant, "zone-a", entries);
-        const auto [smallest, largest] = applyLoad (site, 9, true);
+        const auto [smallest, largest, recovered] = applyLoad (site, 9, true);
         refused[isTolerant] = site.refused();
         MESSAGE (fmt::format ("tolerant {}: sent {}, refused {}, of these by admission {}, shares at equal "
                               "speeds {:.2f} to {:.2f}",
@@ -634,10 +649,11 @@
         if (! isTolerant)
             continue;
 
-        // No gate refuses one for good. Admission at the entries is no part of the policy.
-        CHECK (site.refused() == site.refusedByAdmission());
+        // The other four targets have slots for all requests.
+        CHECK (site.refused() == 0);
         CHECK (smallest > 0.1);
         CHECK (largest < shareOfFullTarget);
+        CHECK (recovered > 0.1);
     }
 
     CHECK (refused[true] < refused[false]);
