Document that idle gates of other zones count as full for part of the time

Cause: ServiceRoom counts a gate as full once its status is older than 1 s, but a node that sends no requests to a peer of another zone receives its status only every 2 s. The comment of idleGateStatusMaxAge stated that the load is not needed before that.

No code changes.

--- a/modules/plankledge_policy/relay/entry/ServiceRoom.h
+++ b/modules/plankledge_policy/relay/entry/ServiceRoom.h
@@ -29,7 +29,9 @@
 public:
     //==============================================================================
     /** Maximum age of a status whose slots in use are taken into account. Twice the interval at which nodes
-        exchange statuses with peers in use, so that one lost status doesn't make a gate count as full. */
+        exchange statuses with peers in use, so that one lost status doesn't make a gate count as full.
+        Statuses of peers in other zones to which this node sends no requests can be older, see
+        idleGateStatusMaxAge in PeerContacts.cpp; they count as full for part of the time. */
     static constexpr Duration statusLifetime = std::chrono::seconds (1);
 
     /** A service of which no gate is known. */
--- a/modules/plankledge_policy/relay/peers/PeerContacts.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.cpp
@@ -18,7 +18,9 @@
 constexpr Duration gateStatusMaxAge = Milliseconds (500);
 
 /** The same for a peer of another zone that has received no recent requests; reduces traffic between zones.
-    Changes of the admission level are pushed, and the load matters only once requests go there. */
+    Changes of the admission level are pushed, and the selection of a target needs the load only once requests
+    go there. ServiceRoom counts a gate as full once its status is older than ServiceRoom::statusLifetime, so
+    that an idle peer of another zone counts as full for part of the time. */
 constexpr Duration idleGateStatusMaxAge = std::chrono::seconds (2);
 
 /** A peer is idle if no request was sent to it within this time. */
