--- a/modules/plankledge_policy/relay/entry/RelayRetryThrottle.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayRetryThrottle.cpp
@@ -41,10 +41,6 @@
     held before and count as empty. */
 constexpr double wantedResetSeconds = 5.0 * wantedDecaySeconds;
 
-/** Retries of single rejections: a request that is rejected at a low rate needs one retry, or two if that one
-   is rejected as well. */
-constexpr double singleRetryCount = 2.0;
-
 /** Shortest time of observation, in seconds, from which a rate is derived. */
 constexpr double minObservedSeconds = 0.1;
 
@@ -171,9 +167,8 @@
             return false;
 
         // Without this, the first second of an outage would look as if few retries were wanted, and chains
-        // of all ranks would get them. A few retries are too few to derive a rate from and are not reduced.
-        const auto singleRetries = singleRetryCount * cost / wantedDecaySeconds;
-        rate = std::max (rate * observedShare (window, now), std::min (rate, singleRetries));
+        // of all ranks would get them.
+        rate *= observedShare (window, now);
     }
 
     if (shedRank >= cutoffRank (window, rate))
--- a/modules/plankledge_policy/relay/entry/RelayRetryThrottle.h
+++ b/modules/plankledge_policy/relay/entry/RelayRetryThrottle.h
@@ -49,7 +49,7 @@
         @param demand            number of nested calls that the retry leads to, by service
         @param shedRank          of the call chain, in [0, 1); higher ranks are shed first
         @param isTolerantChain   whether the chain is latency-tolerant: the limit is then kept in later
-                                 windows as well, and the ranks are cut off from the start of an outage
+                                 windows as well, and the ranks are cut off from the first retries wanted
         @returns whether the retry may be sent
     */
     bool tryAcquire (const ServiceName& service, const std::map<ServiceName, double>& demand, double shedRank,
