--- a/modules/plankledge_policy/relay/entry/RelayRetryThrottle.h
+++ b/modules/plankledge_policy/relay/entry/RelayRetryThrottle.h
@@ -23,10 +23,6 @@
     cutoff get all their retries and the others none, since a few retries for each of many
     chains would let none of them finish.
 
-    When targets begin to reject requests, chains end early and the rate of requests falls.
-    Retries of latency-tolerant chains are therefore limited by the requests that later
-    windows are expected to have as well, in which the retries sent now still count.
-
     Units: attempts that reach a target, after the first one of each request.
 */
 class RelayRetryThrottle
@@ -46,14 +42,12 @@
 
     /** Acquires the cost of one retry, at its service and at the services that it will call, or nothing.
 
-        @param demand            number of nested calls that the retry leads to, by service
-        @param shedRank          of the call chain, in [0, 1); higher ranks are shed first
-        @param isTolerantChain   whether the chain is latency-tolerant: the limit is then kept in later
-                                 windows as well, and the ranks are cut off from the first retries wanted
+        @param demand     number of nested calls that the retry leads to, by service
+        @param shedRank   of the call chain, in [0, 1); higher ranks are shed first
         @returns whether the retry may be sent
     */
     bool tryAcquire (const ServiceName& service, const std::map<ServiceName, double>& demand, double shedRank,
-                     Time now, bool isTolerantChain = false);
+                     Time now);
 
 private:
     //==============================================================================
@@ -75,7 +69,6 @@
         std::array<double, rankBinCount> m_wantedRates {};
 
         Time m_wantedUpdatedAt;
-        Time m_wantedSince; /**< the averages contain all retries wanted since then, and none before */
     };
 
     struct Totals
@@ -87,9 +80,6 @@
     WindowInterval& currentInterval (const ServiceName& service, Time now);
     std::int64_t intervalNumber (Time now) const noexcept;
     Totals totalsOf (const ServiceWindow& window, Time now) const noexcept;
-    double remainingInLaterWindows (const ServiceWindow& window, double ratio, double slack,
-                                    Time now) const noexcept;
-    static double observedShare (const ServiceWindow& window, Time now) noexcept;
     static void recordWanted (ServiceWindow& window, double shedRank, double cost, Time now) noexcept;
     static double cutoffRank (const ServiceWindow& window, double rate) noexcept;
 
--- a/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
+++ b/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
@@ -67,7 +67,7 @@
                                     request.m_isTolerantChain };
     const auto shedRank = computeRetryRank (chain, m_dependencies.m_routes.table());
 
-    if (! m_throttle.tryAcquire (request.m_service, demand, shedRank, turn.now(), request.m_isTolerantChain))
+    if (! m_throttle.tryAcquire (request.m_service, demand, shedRank, turn.now()))
         return deny (RetryDenied::throttled);
 
     countGranted (turn.counters(), request.m_retryPriority);
