--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -221,6 +221,7 @@
                                     another target */
     std::uint16_t m_effectivePriority = 0; /**< smaller values are run first */
     std::uint16_t m_retryPriority = 0;     /**< configured priority of the route at which its chain began */
+    bool m_isChainRepeatable = true;       /**< that route is repeatable */
     bool m_isTolerantChain = false;        /**< that route is latency-tolerant, see
                                               RelaySettings::m_tolerantObjective */
     bool m_isRetry = false;  /**< it, or a request above it in the chain, has been sent to a target before */
@@ -241,9 +242,9 @@
     template <class Archive> void serialize (Archive& archive)
     {
         archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_digest,
-                 m_keyValidFor, m_isShortOffer, m_effectivePriority, m_retryPriority, m_isTolerantChain,
-                 m_isRetry, m_isNested, m_chainAge, m_timeLeft, m_maxQueueTime, m_maxQueueTimeOfNewChain,
-                 m_sentAt, m_restriction);
+                 m_keyValidFor, m_isShortOffer, m_effectivePriority, m_retryPriority, m_isChainRepeatable,
+                 m_isTolerantChain, m_isRetry, m_isNested, m_chainAge, m_timeLeft, m_maxQueueTime,
+                 m_maxQueueTimeOfNewChain, m_sentAt, m_restriction);
     }
 };
 
--- a/modules/plankledge_policy/relay/entry/EntryRequest.h
+++ b/modules/plankledge_policy/relay/entry/EntryRequest.h
@@ -24,6 +24,7 @@
     std::uint32_t m_completedCalls = 0;    /**< successful earlier calls of its parent request */
     std::uint16_t m_effectivePriority = 0; /**< nested calls inherit it from their parent */
     std::uint16_t m_retryPriority = 0;     /**< configured priority of the route at which its chain began */
+    bool m_isChainRepeatable = true;       /**< that route is repeatable */
     bool m_isTolerantChain = false;        /**< that route is latency-tolerant, see
                                               RelaySettings::m_tolerantObjective */
     Time m_receivedAt;
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -103,6 +103,7 @@
     request.m_service = m_serviceSelector.next (route);
     request.m_effectivePriority = static_cast<std::uint16_t> (request.m_route.m_priority);
     request.m_retryPriority = request.m_effectivePriority;
+    request.m_isChainRepeatable = route.m_isRepeatable;
     request.m_isTolerantChain = m_settings.isTolerant (route.m_latencyObjective);
     request.m_receivedAt = turn.now();
     request.m_chainStartedAt = turn.now();
@@ -144,6 +145,7 @@
     request.m_isNested = true;
     request.m_effectivePriority = parent.m_effectivePriority;
     request.m_retryPriority = parent.m_retryPriority;
+    request.m_isChainRepeatable = parent.m_isChainRepeatable;
     request.m_isTolerantChain = parent.m_isTolerantChain;
     request.m_hasRetriedAncestor = parent.m_isRetry;
     request.m_chainStartedAt = running.m_chainStartedAt;
@@ -299,6 +301,7 @@
 
     message.m_effectivePriority = request.m_effectivePriority;
     message.m_retryPriority = request.m_retryPriority;
+    message.m_isChainRepeatable = request.m_isChainRepeatable;
     message.m_isTolerantChain = request.m_isTolerantChain;
     message.m_isRetry = request.m_hasRetriedAncestor || request.m_attempts > 0;
     message.m_isNested = request.m_isNested;
--- a/modules/plankledge_policy/relay/entry/RetryRank.cpp
+++ b/modules/plankledge_policy/relay/entry/RetryRank.cpp
@@ -11,6 +11,10 @@
 /** Chains of equal priority and progress are spread over this many cohorts. */
 constexpr std::uint64_t cohorts = 1000;
 
+/** Range of the ranks of chains that callers can't repeat, as a share of the range of the highest priority.
+    Only chains with three or more completed calls, which nearly always finish, reach into it. */
+constexpr double nonRepeatableShare = 0.25;
+
 } // namespace
 
 //==============================================================================
@@ -21,6 +25,10 @@
     const auto completedCalls = static_cast<double> (chain.m_completedCalls);
     const auto lowest = 1.0 / (completedCalls + 2.0);
     const auto rankInPriority = lowest + cohort * (1.0 / (completedCalls + 1.0) - lowest);
+
+    if (chain.m_isTolerantChain && ! chain.m_isRepeatable)
+        return rankInPriority * nonRepeatableShare * routes.shedRankWidth();
+
     return routes.shedRankOfPriority (priority) + rankInPriority * routes.shedRankWidth();
 }
 
--- a/modules/plankledge_policy/relay/entry/RetryRank.h
+++ b/modules/plankledge_policy/relay/entry/RetryRank.h
@@ -17,6 +17,7 @@
     std::uint32_t m_completedCalls = 0;     /**< successful earlier calls of the parent request */
     bool m_isTolerantChain = false;         /**< the route at which the chain began is latency-tolerant, see
                                                RelaySettings::m_tolerantObjective */
+    bool m_isRepeatable = true;             /**< that route is repeatable */
 
     auto operator<=> (const RetryRankCriteria&) const = default;
 };
@@ -30,6 +31,10 @@
     take those that the most important chains need. Other chains are ranked by effective
     priority.
 
+    Latency-tolerant chains whose first request is not repeatable come before all others: if
+    they fail after they have begun, their callers can't send them again, while the callers of
+    repeatable requests can.
+
     Within a priority, the chains with the most completed calls have the lowest ranks: they
     have the most work to lose and need the fewest retries to finish.
 
