Review of sampling and of the order of retries: free candidates first, bounded weights, chains that have begun

Change: candidates without free slots are drawn only if there are too few others; a candidate weighs at most four times the mean; the rank keeps the order of priorities and needs a nested call. The replay also judges windows that end just before their oldest retry leaves.

--- a/modules/plankledge_policy/relay/entry/CandidateSampling.cpp
+++ b/modules/plankledge_policy/relay/entry/CandidateSampling.cpp
@@ -9,10 +9,14 @@
 namespace
 {
 
-/** Two random choices already bound the excess load of a target; the third finds a target of the own
-    availability zone or a faster one more often. */
+/** With one candidate, full targets and those in another availability zone could not be avoided. With many,
+    all entries would select the same targets again. */
 constexpr std::size_t sampleSize = 3;
 
+/** Bounds the preference for fast targets, whose times may be out of date or those of requests that ended
+    early: four times the mean rate is more than the speeds of the targets of a service differ by. */
+constexpr double maxRateOverMean = 4.0;
+
 /** Resolution of the random numbers that a candidate is drawn by. */
 constexpr std::uint64_t drawSteps = 1ULL << 32U;
 
@@ -44,8 +48,9 @@
     return known > 0.0 ? sum / known : 1.0;
 }
 
+/** @returns the candidates that were not tried, with or without free slots */
 std::vector<WeightedCandidate> weigh (const std::vector<const Peer*>& candidates,
-                                      const TargetCriteria& criteria)
+                                      const TargetCriteria& criteria, bool areFree)
 {
     const auto mean = meanTime (candidates, criteria.m_route);
     std::vector<WeightedCandidate> weighted;
@@ -53,11 +58,13 @@
 
     for (const auto* peer : candidates)
     {
-        if (criteria.m_tried.contains (peer->m_member.m_id.m_instance))
+        if (criteria.m_tried.contains (peer->m_member.m_id.m_instance) ||
+            peer->hasFreeSlots (criteria.m_route, criteria.m_now) != areFree)
             continue;
 
         const auto time = static_cast<double> (peer->routeTimeOf (criteria.m_route).count());
-        weighted.push_back ({ peer, slotsOf (*peer) / (time > 0.0 ? time : mean) });
+        const auto boundedTime = time > 0.0 ? std::max (time, mean / maxRateOverMean) : mean;
+        weighted.push_back ({ peer, slotsOf (*peer) / boundedTime });
     }
 
     return weighted;
@@ -91,11 +98,12 @@
 std::vector<const Peer*> sampleCandidates (const std::vector<const Peer*>& candidates,
                                            const TargetCriteria& criteria, Random& random)
 {
-    auto weighted = weigh (candidates, criteria);
     std::vector<const Peer*> sample;
 
-    while (! weighted.empty() && sample.size() < sampleSize)
-        sample.push_back (draw (weighted, random));
+    for (const bool areFree : { true, false })
+        for (auto weighted = weigh (candidates, criteria, areFree);
+             ! weighted.empty() && sample.size() < sampleSize;)
+            sample.push_back (draw (weighted, random));
 
     return sample;
 }
--- a/modules/plankledge_policy/relay/entry/CandidateSampling.h
+++ b/modules/plankledge_policy/relay/entry/CandidateSampling.h
@@ -20,8 +20,12 @@
     of the route: its slots divided by the time that a request takes there. If that time is unknown, as
     for a new target, the mean of the other candidates is used.
 
+    Candidates without free slots are drawn only if there are too few others.
+
     @param candidates   nodes that accept work
-    @returns the sample, without nodes that were tried; all remaining candidates if they are few
+    @param criteria     its route, tried nodes and time are used
+    @returns the sample in the order of the draw, without nodes that were tried; all remaining candidates if
+             they are few
 
     @see selectTarget
 */
--- a/modules/plankledge_policy/relay/entry/OfferPolicy.cpp
+++ b/modules/plankledge_policy/relay/entry/OfferPolicy.cpp
@@ -11,17 +11,6 @@
 namespace
 {
 
-/** Targets with this failure rate, in thousandths, or a higher one do not count as free capacity: they have
-    free slots because they fail at once. Overloaded targets that reject up to 0.55 of their requests do
-    count, since a rejected request has not run. */
-constexpr std::uint16_t maxFailurePermille = 800;
-
-bool hasFreeSlots (const Peer& peer, const RouteName& route, Time now) noexcept
-{
-    return peer.load() < peer.m_gate.m_limit && peer.expectedQueueTime (route, now) == Duration::zero() &&
-           peer.m_gate.m_failurePermille < maxFailurePermille;
-}
-
 /** Later offers of the request have the full queueing time.
 
     Targets that the request has reached stay excluded, and so do all others once it has reached as many as
@@ -96,7 +85,7 @@
 {
     // A request whose queueing time is over can still use a free slot.
     const bool isUseful = peer != nullptr && (turn.now() < request.m_queueDeadline ||
-                                              hasFreeSlots (*peer, request.m_route.m_name, turn.now()));
+                                              peer->hasFreeSlots (request.m_route.m_name, turn.now()));
 
     if (! isUseful)
     {
@@ -126,7 +115,7 @@
     return std::any_of (others.begin(), others.end(), [&] (const auto* other) {
         const auto& instance = other->m_member.m_id.m_instance;
         return instance != peer.m_member.m_id.m_instance && ! request.m_tried.contains (instance) &&
-               hasFreeSlots (*other, request.m_route.m_name, now);
+               other->hasFreeSlots (request.m_route.m_name, now);
     });
 }
 
--- a/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
+++ b/modules/plankledge_policy/relay/entry/RetryPolicy.cpp
@@ -62,9 +62,13 @@
         return deny (RetryDenied::noTime);
 
     const auto& demand = m_dependencies.m_calls.demandOf (request.m_route.m_name);
-    const RetryRankCriteria chain { rootOf (request.m_content.m_id), request.m_retryPriority,
-                                    request.m_effectivePriority,     request.m_completedCalls,
-                                    request.m_isTolerantChain,       request.m_isChainRepeatable };
+    const RetryRankCriteria chain { rootOf (request.m_content.m_id),
+                                    request.m_retryPriority,
+                                    request.m_effectivePriority,
+                                    request.m_completedCalls,
+                                    request.m_isTolerantChain,
+                                    request.m_isChainRepeatable,
+                                    request.m_isNested };
     const auto shedRank = computeRetryRank (chain, m_dependencies.m_routes.table());
 
     if (! m_throttle.tryAcquire (request.m_service, demand, shedRank, turn.now()))
--- a/modules/plankledge_policy/relay/entry/RetryRank.cpp
+++ b/modules/plankledge_policy/relay/entry/RetryRank.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint64_t cohorts = 1000;
 
 /** Range of the ranks of chains that callers can't repeat, as a share of the range of the highest priority.
-    Only chains with three or more completed calls, which nearly always finish, reach into it. */
+    Chains with three completed calls reach into it, since they need the fewest retries to finish. */
 constexpr double nonRepeatableShare = 0.25;
 
 } // namespace
@@ -26,10 +26,9 @@
     const auto lowest = 1.0 / (completedCalls + 2.0);
     const auto rankInPriority = lowest + cohort * (1.0 / (completedCalls + 1.0) - lowest);
 
-    if (chain.m_isTolerantChain && ! chain.m_isRepeatable)
-        return rankInPriority * nonRepeatableShare * routes.shedRankWidth();
-
-    return routes.shedRankOfPriority (priority) + rankInPriority * routes.shedRankWidth();
+    const auto rank = routes.shedRankOfPriority (priority) + rankInPriority * routes.shedRankWidth();
+    const bool isLostIfFailed = chain.m_isTolerantChain && chain.m_isNested && ! chain.m_isRepeatable;
+    return isLostIfFailed ? rank * nonRepeatableShare * routes.shedRankWidth() : rank;
 }
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/entry/RetryRank.h
+++ b/modules/plankledge_policy/relay/entry/RetryRank.h
@@ -18,6 +18,7 @@
     bool m_isTolerantChain = false;         /**< the route at which the chain began is latency-tolerant, see
                                                RelaySettings::m_tolerantObjective */
     bool m_isRepeatable = true;             /**< that route is repeatable */
+    bool m_isNested = false;                /**< the request is a call by a target: its chain has begun */
 
     auto operator<=> (const RetryRankCriteria&) const = default;
 };
@@ -31,9 +32,10 @@
     take those that the most important chains need. Other chains are ranked by effective
     priority.
 
-    Latency-tolerant chains whose first request is not repeatable come before all others: if
-    they fail after they have begun, their callers can't send them again, while the callers of
-    repeatable requests can.
+    Latency-tolerant chains that have begun and whose first request is not repeatable come
+    first, by priority among each other: if they fail, their callers can't send them again,
+    while the callers of repeatable requests can. Of the other chains, only those of the highest
+    priority with three or more completed calls reach their range.
 
     Within a priority, the chains with the most completed calls have the lowest ranks: they
     have the most work to lose and need the fewest retries to finish.
--- a/modules/plankledge_policy/relay/entry/TargetSelection.h
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.h
@@ -31,8 +31,10 @@
     all select the same target. A small fraction of requests probes a random target, so
     that the service times of all targets stay known.
 
-    For latency-tolerant chains, the penalty of another availability zone is the smallest
-    one, and targets that use a smaller share of their slots are preferred.
+    For latency-tolerant chains, whose candidates are a random sample, costs have no jitter.
+    The penalty of another availability zone is the smallest one, targets that use most of
+    their slots have a penalty, and service times within half of the latency objective count
+    as equal: of two such targets the one drawn first is selected.
 
     @param candidates   nodes that accept work
     @returns the selected node, or nullptr if all were tried
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -77,8 +77,8 @@
 
     const auto reason = refusalReason (turn, id, call);
 
-    // A request that is offered elsewhere next is demand there. Counted at each gate, it would lower the
-    // admission level although the service has free slots.
+    // A request that is refused here and offered elsewhere next is demand there. Counted at each gate, it
+    // would lower the admission level although the service has free slots.
     if (! call.m_request.m_isShortOffer || (reason != Reason::overloaded && reason != Reason::queueFull))
     {
         m_requestedWork += call.m_slotTime;
--- a/modules/plankledge_policy/relay/peers/PeerTable.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerTable.cpp
@@ -15,6 +15,11 @@
 namespace
 {
 
+/** Targets with this failure rate, in thousandths, or a higher one do not count as free capacity: they have
+    free slots because they fail at once. Overloaded targets that reject up to 0.55 of their requests do
+    count, since a rejected request has not run. */
+constexpr std::uint16_t maxFailurePermille = 800;
+
 /** Upper bound of the expected wait for a rate limit. */
 constexpr Duration maxRateWait = std::chrono::minutes (1);
 
@@ -51,6 +56,12 @@
     return std::max (rateWait, (m_gate.m_queuedWork + m_workSinceStatus + routeTimeOf (route)) / limit);
 }
 
+bool Peer::hasFreeSlots (const RouteName& route, Time now) const noexcept
+{
+    return load() < m_gate.m_limit && expectedQueueTime (route, now) == Duration::zero() &&
+           m_gate.m_failurePermille < maxFailurePermille;
+}
+
 double Peer::sustainableConcurrency() const noexcept
 {
     if (! m_gate.m_rate.has_value() || m_routeTimes.empty())
--- a/modules/plankledge_policy/relay/peers/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -44,6 +44,10 @@
     /** @returns how long a request sent now is expected to be queued at its gate */
     Duration expectedQueueTime (const RouteName& route, Time now) const noexcept;
 
+    /** @returns whether a request sent now is expected to get a slot at once. False for a target that nearly
+                 always fails, whose slots are free because it fails at once. */
+    bool hasFreeSlots (const RouteName& route, Time now) const noexcept;
+
     /** @returns how many requests its target can run at a time, given the rate limit that it states */
     double sustainableConcurrency() const noexcept;
 };
--- a/tests/relay/entry/CandidateSampling_test.cpp
+++ b/tests/relay/entry/CandidateSampling_test.cpp
@@ -78,14 +78,14 @@
                static_cast<double> (timeAt (target).count());
     }
 
-    /** @returns the largest load of a target in a period, as a fraction of what it can run */
-    static double largestLoad (bool isTolerant)
+    /** @param isSampled   whether the best of a sample is selected, or the best of all targets
+        @returns the largest load of a target in a period, as a fraction of what it can run */
+    static double largestLoad (bool isSampled)
     {
         Random random (3);
         double largest = 0.0;
         std::vector<double> loads (targets, 0.0);
-        auto criteria = criteriaOf();
-        criteria.m_isTolerantChain = isTolerant;
+        const auto criteria = criteriaOf();
 
         for (unsigned period = 0; period < periods; ++period)
         {
@@ -105,7 +105,7 @@
                 auto& view = views[random.below (entries)];
                 const auto all = pointersTo (view);
                 const auto* selected = selectTarget (
-                    isTolerant ? sampleCandidates (all, criteria, random) : all, criteria, random);
+                    isSampled ? sampleCandidates (all, criteria, random) : all, criteria, random);
                 const auto target = static_cast<std::size_t> (selected - view.data());
                 ++arrivals[target];
                 ++view[target].m_sentSinceStatus;
@@ -131,6 +131,9 @@
     const auto withSample = Fleet::largestLoad (true);
     MESSAGE ("largest load of a target in a period: ", withAll, " without sampling, ", withSample, " with");
 
+    // The load has the fault that sampling guards against.
+    CHECK (withAll > 1.0);
+
     // What the busiest target can't run within the period must fit into the queueing time of a short offer.
     const auto longestOffer = static_cast<double> (OfferPolicy::maxShortQueueTime.count());
     CHECK (withSample <= 1.0 + longestOffer / static_cast<double> (Fleet::period.count()));
@@ -145,7 +148,8 @@
         peers.push_back (makePeer (number, Milliseconds (number < 5 ? 100 : 300)));
 
     const auto shares = sharesOfSamples (peers);
-    CHECK (shares.at ("target-100") / shares.at ("target-109") == doctest::Approx (2.6).epsilon (0.15));
+    // Three draws without replacement from five weights of 3 and five of 1.
+    CHECK (shares.at ("target-100") / shares.at ("target-109") == doctest::Approx (2.634).epsilon (0.05));
 }
 
 // Guards against a new target that gets no requests, or most of them, because its times are not known yet.
--- a/tests/relay/entry/RetryRank_test.cpp
+++ b/tests/relay/entry/RetryRank_test.cpp
@@ -55,12 +55,12 @@
       2.0 / 3 + 1.0 / 15,
       2.0 / 3 + 1.0 / 12 },
     { "tolerant, not promoted", { "a", 1, 1, 0, true }, 1.0 / 2, 2.0 / 3 },
-    { "tolerant, lesser, not repeatable: before all others",
-      { "a", 2, 2, 0, true, false },
-      1.0 / 24,
-      1.0 / 12 },
+    // A quarter of the range of the highest priority belongs to chains that their callers can't repeat.
+    { "tolerant, begun, not repeatable", { "a", 0, 0, 0, true, false, true }, 1.0 / 72, 1.0 / 36 },
+    { "tolerant, begun, not repeatable, lesser", { "a", 2, 2, 0, true, false, true }, 5.0 / 72, 1.0 / 12 },
+    { "tolerant, not begun, not repeatable", { "a", 2, 2, 0, true, false, false }, 5.0 / 6, 1.0 },
     { "not tolerant, not repeatable: by effective priority",
-      { "a", 1, 1, 0, false, false },
+      { "a", 1, 1, 0, false, false, true },
       1.0 / 2,
       2.0 / 3 },
     { "not tolerant, promoted: by effective priority", { "a", 2, 0, 0, false }, 1.0 / 6, 1.0 / 3 },
@@ -235,7 +235,13 @@
 
         double largest = 0.0;
 
+        std::vector<Time> ends = again;
+
+        // A window that ends just before its oldest retry leaves it may have fewer requests.
         for (const auto& at : again)
+            ends.push_back (at + window - Duration (1));
+
+        for (const auto& at : ends)
         {
             const auto requests = std::max (
                 { countIn (first, at), countIn (first, at - window / 2), countIn (first, at - window) });
