--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -115,6 +115,7 @@
     checkRetries (lines);
     checkPriorityOrder (lines);
     checkRecovery (lines);
+    checkPipelining (lines);
     return lines;
 }
 
@@ -447,6 +448,21 @@
     lines.push_back (std::move (line));
 }
 
+void RunHistory::checkPipelining (Lines& lines) const
+{
+    std::size_t count = 0;
+
+    for (const auto& what : m_pipeliningErrors)
+        addLine (lines, count, fmt::format ("pipelining: {}", what));
+
+    for (const auto& id : m_sentBehindClose)
+        if (m_arrivals.contains (id))
+            addLine (lines, count,
+                     fmt::format ("pipelining: request {} reached a target although the one before it closes "
+                                  "the connection",
+                                  id));
+}
+
 //==============================================================================
 double RunHistory::sinceFirstRequest (Time time) const
 {
@@ -486,6 +502,10 @@
     for (const auto& [status, count] : byStatus)
         text += fmt::format (" {}: {}", status == 0 ? "no response" : std::to_string (status), count);
 
+    if (m_sentAhead > 0)
+        text += fmt::format ("; {} sent together, {} behind one that closes", m_sentAhead,
+                             m_sentBehindClose.size());
+
     return text + describeStandstills();
 }
 
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -37,6 +37,7 @@
 constexpr std::string_view targetIdHeader = "Soak-Target";
 constexpr std::string_view rateLimitHeader = "Server-Limit";
 constexpr std::string_view leavingHeader = "Server-Leaving";
+constexpr std::string_view loadHeader = "Server-Load";
 
 /** The time in which a fault or a planned operation may affect requests. */
 struct FaultWindow
@@ -91,6 +92,15 @@
        stood still. That is a fault, although no schedule contains it. */
     void onStandstill (Time from, Time until);
 
+    /** Records that requests were sent together on one connection. */
+    void onSentAhead (std::size_t count) { m_sentAhead += count; }
+
+    /** Records a request that was sent behind one that closes its connection, so that it must not arrive. */
+    void onSentBehindClose (const std::string& id) { m_sentBehindClose.push_back (id); }
+
+    /** Records that the answers on one connection were not those that its requests must get. */
+    void onPipeliningError (std::string what) { m_pipeliningErrors.push_back (std::move (what)); }
+
     /** @returns the time from which all requests must be served: some time after the last fault */
     Time calmSince() const;
 
@@ -151,6 +161,7 @@
     void checkRetries (Lines& lines) const;
     void checkPriorityOrder (Lines& lines) const;
     void checkRecovery (Lines& lines) const;
+    void checkPipelining (Lines& lines) const;
 
     double sinceFirstRequest (Time time) const;
 
@@ -183,6 +194,9 @@
     std::map<std::uint64_t, Time> m_publishedAt;
     std::vector<FaultWindow> m_faultWindows;
     std::vector<std::pair<Time, Time>> m_standstills;
+    std::vector<std::string> m_sentBehindClose;
+    std::vector<std::string> m_pipeliningErrors;
+    std::size_t m_sentAhead = 0;
 };
 
 } // namespace plankledge::soak
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -18,6 +18,10 @@
 DEFINE_int32 (nodes, 9, "number of instances, distributed over three services and three zones; at most 200");
 DEFINE_int32 (rate, 250, "total requests per second of all clients");
 DEFINE_bool (conditions, false, "targets state rate limits and that they are leaving in their answers");
+DEFINE_bool (
+    uneven, false,
+    "targets state their load and vary in speed, some requests are sent ahead, and the longest route "
+    "is latency-tolerant");
 DEFINE_int32 (standstill_ms, 0,
               "all processes stand still for this long once the faults have ended; 0: don't");
 DEFINE_string (program, "build/plankledge-sidecar", "path of the node program");
@@ -35,6 +39,18 @@
 constexpr Duration conditionInterval = std::chrono::seconds (2);
 constexpr Duration rateLimitTime = std::chrono::seconds (8); // longer than the check's window and delay
 constexpr double statedRates[] = { 0.0, 0.5, 2.0, 17.1 };
+
+// With --uneven.
+constexpr double usualObjectiveS = 0.5;
+constexpr double tolerantObjectiveS = 1.2;
+constexpr const char* tolerantFlag = "--tolerant_objective_s=1"; // between the two objectives
+
+// The mean work time of targets is 155 % of this, so that the demand for slots is that of other runs. With
+// more, it exceeds the limits of the gates at times, and the refusals then fail the check of recovery.
+constexpr Duration unevenWorkDuration (6450);
+constexpr std::uint64_t togetherPercent = 10; // of the draws of requests: several are sent on one connection
+constexpr std::uint64_t maxSentAhead = 4;     // behind the first one
+constexpr std::uint64_t closingPercent = 25;  // of those sent together: the last one closes the connection
 constexpr Duration minRecoveryTime = std::chrono::seconds (2);
 
 /** Bounds a run on a machine that stands still again and again, whose recovery can't be judged. */
@@ -91,11 +107,11 @@
 }
 
 boost::json::object makeRule (const std::string& name, const std::string& service, bool isRepeatable,
-                              int priority)
+                              int priority, double objectiveS = usualObjectiveS)
 {
     return { { "name", name },
              { "kind", isRepeatable ? "idempotent" : "non_idempotent" },
-             { "targetLatencyS", 0.5 },
+             { "targetLatencyS", objectiveS },
              { "priority", priority },
              { "match", { { "pathPrefix", fmt::format ("/{}/", name) } } },
              { "action", { { "service", service }, { "timeoutS", 1.5 }, { "maxAttempts", 3 } } } };
@@ -107,7 +123,9 @@
     boost::json::array rules;
 
     for (const auto* service : services)
-        rules.push_back (makeRule (fmt::format ("{}-read", service), service, true, 2));
+        rules.push_back (
+            makeRule (fmt::format ("{}-read", service), service, true, 2,
+                      FLAGS_uneven && service == services[0] ? tolerantObjectiveS : usualObjectiveS));
 
     rules.push_back (makeRule ("front-write", services[0], false, 0));
 
@@ -133,6 +151,7 @@
         : m_faultRandom (FLAGS_seed)
         , m_trafficRandom (~FLAGS_seed)
         , m_conditionRandom (FLAGS_seed * 31)
+        , m_aheadRandom (FLAGS_seed * 37)
         , m_timer (m_context)
         , m_store (m_context)
     {
@@ -185,7 +204,12 @@
         options.m_target.m_instance = fmt::format ("{}-{}", services[depth], number);
         options.m_target.m_service = services[depth];
         options.m_target.m_slots = 8;
-        options.m_target.m_workDuration = Milliseconds (10);
+        options.m_target.m_statesLoad = FLAGS_uneven;
+
+        if (FLAGS_uneven)
+            options.m_flags.emplace_back (tolerantFlag);
+
+        options.m_target.m_workDuration = FLAGS_uneven ? unevenWorkDuration : Milliseconds (10);
         options.m_logFile = fmt::format ("{}/{}.log", m_folder, options.m_target.m_instance);
 
         if (depth + 1 < serviceCount)
@@ -291,10 +315,33 @@
             service = services[serviceCount - 1];
         }
 
+        const SoakNode::ClientRequest first { newRequestId(), fmt::format ("/{}/x", path), request };
         m_runHistory.onCallSent (service, request.m_sentAt);
-        node.sendRequest (fmt::format ("r{}-{}", FLAGS_seed, ++m_sent), fmt::format ("/{}/x", path), request);
+
+        if (FLAGS_uneven && request.m_isRepeatable && m_aheadRandom.below (100) < togetherPercent)
+            return sendTogether (node, first, service);
+
+        node.sendRequest (first);
     }
 
+    /** Sends a request and further ones like it on one connection, in place of later requests. */
+    void sendTogether (SoakNode& node, const SoakNode::ClientRequest& first, const std::string& service)
+    {
+        std::vector<SoakNode::ClientRequest> requests { first };
+
+        for (auto ahead = 1 + m_aheadRandom.below (maxSentAhead); ahead > 0; --ahead)
+        {
+            requests.push_back ({ newRequestId(), first.m_path, first.m_request });
+            m_runHistory.onCallSent (service, first.m_request.m_sentAt);
+            m_nextRequest += Duration (1000000 / FLAGS_rate) / m_rateFactor;
+        }
+
+        const bool closes = m_aheadRandom.below (100) < closingPercent;
+        node.sendTogether (requests, closes ? newRequestId() : std::string());
+    }
+
+    std::string newRequestId() { return fmt::format ("r{}-{}", FLAGS_seed, ++m_sent); }
+
     //==============================================================================
     void startFault()
     {
@@ -440,6 +487,7 @@
     Random m_faultRandom; /**< separate from traffic, whose number of draws depends on timing */
     Random m_trafficRandom;
     Random m_conditionRandom; /**< separate, so that a seed has the same faults with and without conditions */
+    Random m_aheadRandom;
     boost::asio::steady_timer m_timer;
     test::StoreStandin m_store;
     RunHistory m_runHistory;
--- a/tests/soak/SoakNode.cpp
+++ b/tests/soak/SoakNode.cpp
@@ -38,11 +38,23 @@
     return findHeader (request, "Request-Id") == findHeader (answer.m_headers, "Request-Id");
 }
 
+HttpRequest makeMessage (const SoakNode::ClientRequest& request)
+{
+    HttpRequest message;
+    message.m_method = request.m_request.m_isRepeatable ? "GET" : "POST";
+    message.m_target = request.m_path;
+    message.m_headers = { { "Host", "soak.example" },
+                          { "Request-Id", request.m_id },
+                          { "Deadline-Ms", std::to_string (toMilliseconds (request.m_request.m_timeout)) } };
+    return message;
+}
+
 } // namespace
 
 //==============================================================================
 SoakNode::SoakNode (boost::asio::io_context& context, RunHistory& runHistory, const Options& options)
-    : m_runHistory (runHistory)
+    : m_context (context)
+    , m_runHistory (runHistory)
     , m_options (options)
     , m_clients (
           context, [this] (CallId call, const TargetClient::Result& answer) { onAnswer (call, answer); },
@@ -88,6 +100,7 @@
                                          "--store=" + toText (endpointAt (storePort)),
                                          "--announcement_period_s=0.5",
                                          "--retry_slack=50" };
+    arguments.insert (arguments.end(), m_options.m_flags.begin(), m_options.m_flags.end());
     std::vector<char*> argv;
 
     for (auto& argument : arguments)
@@ -139,18 +152,64 @@
 }
 
 //==============================================================================
-void SoakNode::sendRequest (const std::string& id, const std::string& path, const SentRequest& request)
+void SoakNode::sendRequest (const ClientRequest& request)
 {
     const auto call = m_nextCall++;
-    m_pendingCalls[call] = { id, request.m_sentAt + request.m_timeout + abandonDelay };
-    m_runHistory.onSent (id, request);
-    HttpRequest message;
-    message.m_method = request.m_isRepeatable ? "GET" : "POST";
-    message.m_target = path;
-    message.m_headers = { { "Host", "soak.example" },
-                          { "Request-Id", id },
-                          { "Deadline-Ms", std::to_string (toMilliseconds (request.m_timeout)) } };
-    m_clients.send (call, endpointAt (outboundPort), std::move (message));
+    m_pendingCalls[call] = { request.m_id,
+                             request.m_request.m_sentAt + request.m_request.m_timeout + abandonDelay };
+    m_runHistory.onSent (request.m_id, request.m_request);
+    m_clients.send (call, endpointAt (outboundPort), makeMessage (request));
+}
+
+void SoakNode::sendTogether (const std::vector<ClientRequest>& requests, const std::string& idBehindClose)
+{
+    std::vector<HttpRequest> messages;
+    std::vector<std::string> ids;
+
+    for (const auto& request : requests)
+    {
+        m_runHistory.onSent (request.m_id, request.m_request);
+        messages.push_back (makeMessage (request));
+        ids.push_back (request.m_id);
+    }
+
+    m_runHistory.onSentAhead (requests.size());
+
+    if (! idBehindClose.empty())
+    {
+        messages.back().m_headers.emplace_back ("Connection", "close");
+        auto behind = requests.back();
+        behind.m_id = idBehindClose;
+        messages.push_back (makeMessage (behind));
+        m_runHistory.onSentBehindClose (idBehindClose);
+    }
+
+    PipelinedCall::Hooks hooks;
+    hooks.m_onAnswer = [this, ids, idBehindClose] (std::size_t index, const HttpResponse* response) {
+        if (index >= ids.size())
+        {
+            if (response != nullptr)
+                m_runHistory.onPipeliningError (
+                    fmt::format ("request {} was answered although the one before it closes the connection",
+                                 idBehindClose));
+
+            return;
+        }
+
+        if (const auto& id = ids[index];
+            response != nullptr && findHeader (response->m_headers, "Request-Id") != id)
+            m_runHistory.onPipeliningError (
+                fmt::format ("in the turn of request {} at {}, status {} was answered to request {}", id,
+                             name(), response->m_status, findHeader (response->m_headers, "Request-Id")));
+
+        onEnded (ids[index], response);
+    };
+    hooks.m_onSurplusBytes = [this, last = ids.back()] {
+        m_runHistory.onPipeliningError (fmt::format (
+            "bytes behind the last answer, in the call that ends with request {} at {}", last, name()));
+    };
+    PipelinedCall::start (m_context, endpointAt (outboundPort), std::move (messages),
+                          requests.front().m_request.m_timeout + abandonDelay, std::move (hooks));
 }
 
 void SoakNode::onAnswer (CallId call, const TargetClient::Result& answer)
@@ -160,8 +219,11 @@
     if (node.empty())
         return;
 
-    const auto& id = node.mapped().m_id;
-    const auto* response = std::get_if<HttpResponse> (&answer);
+    onEnded (node.mapped().m_id, std::get_if<HttpResponse> (&answer));
+}
+
+void SoakNode::onEnded (const std::string& id, const HttpResponse* response)
+{
     const auto status = response != nullptr ? response->m_status : 0;
 
     if (response != nullptr)
--- a/tests/soak/SoakNode.h
+++ b/tests/soak/SoakNode.h
@@ -3,6 +3,7 @@
 #include "plankledge_core/Random.h"
 #include "plankledge_runtime/TargetClient.h"
 #include "soak/LoopbackProxy.h"
+#include "soak/PipelinedCall.h"
 #include "soak/SoakTarget.h"
 
 #include <optional>
@@ -31,6 +32,15 @@
         Endpoint m_store;
         SoakTarget::Options m_target; /**< the constructor sets its zone and addresses */
         std::uint64_t m_seed = 0;
+        std::vector<std::string> m_flags; /**< further ones of the node's program */
+    };
+
+    /** A client's request. */
+    struct ClientRequest
+    {
+        std::string m_id; /**< value of the Request-Id header */
+        std::string m_path;
+        SentRequest m_request; /**< recorded in the run history */
     };
 
     SoakNode (boost::asio::io_context& context, RunHistory& runHistory, const Options& options);
@@ -58,12 +68,15 @@
     unsigned unexpectedExits() const noexcept { return m_unexpectedExits; }
 
     //==============================================================================
-    /** Sends a client's request to the node's outbound address.
+    /** Sends a client's request to the node's outbound address. */
+    void sendRequest (const ClientRequest& request);
+
+    /** Sends repeatable requests together on one connection, and checks what comes back.
 
-        @param id        value of the Request-Id header
-        @param request   recorded in the run history
+        @param idBehindClose   id of a further request, which is sent behind them after the last of them has
+                               asked to close the connection; empty: none
     */
-    void sendRequest (const std::string& id, const std::string& path, const SentRequest& request);
+    void sendTogether (const std::vector<ClientRequest>& requests, const std::string& idBehindClose);
 
     /** Abandons requests without a response some time after their timeout. */
     void abandonOverdue (Time now);
@@ -84,7 +97,9 @@
 
     Endpoint endpointAt (std::uint16_t port) const { return { m_options.m_ip, port }; }
     void onAnswer (CallId call, const TargetClient::Result& answer);
+    void onEnded (const std::string& id, const HttpResponse* response);
 
+    boost::asio::io_context& m_context;
     RunHistory& m_runHistory;
     Options m_options;
     TargetClient m_clients;
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -23,6 +23,21 @@
 constexpr int slowFactor = 5;
 constexpr std::uint64_t maxPaddingBytes = 4000;
 
+// Of stated loads, for targets that state them. Percentages of answers are cumulative.
+constexpr std::uint64_t minWorkTimePercent = 60;
+constexpr std::uint64_t maxWorkTimePercent = 250;
+constexpr std::uint64_t minWorkTimeMs = 200; /**< for which a work time lasts */
+constexpr std::uint64_t maxWorkTimeMs = 2500;
+constexpr std::uint64_t twoLoadsPercent = 2; /**< a malformed and a good one */
+constexpr std::uint64_t malformedLoadPercent = 6;
+constexpr std::uint64_t withoutLoadPercent = 15;
+constexpr std::uint64_t withoutWorkTimePercent = 20;
+
+constexpr std::string_view malformedLoads[] = {
+    "",           "busy",      "1,2",       "1,2,0,100",          "1,2,8,0", "1,2,8,10001",
+    "-1,0,8,100", "1,2,8,1,5", "1;2;8;100", "99999999999,0,8,100"
+};
+
 } // namespace
 
 std::string makeBody (const std::string& requestId)
@@ -50,10 +65,45 @@
     if (m_rateLimit.has_value() && BootClock::now() < m_rateLimitUntil)
         response.m_headers.emplace_back (rateLimitHeader, fmt::format ("{}", *m_rateLimit));
 
+    if (m_options.m_statesLoad)
+        addLoad (response.m_headers);
+
     response.m_body = makeBody (requestId);
     return response;
 }
 
+std::uint64_t SoakTarget::workTimePercent()
+{
+    const auto now = BootClock::now();
+
+    if (m_options.m_statesLoad && now >= m_nextWorkTime)
+    {
+        m_workTimePercent =
+            minWorkTimePercent + m_loadRandom.below (maxWorkTimePercent - minWorkTimePercent + 1);
+        m_nextWorkTime = now + Milliseconds (static_cast<std::int64_t> (
+                                   minWorkTimeMs + m_loadRandom.below (maxWorkTimeMs - minWorkTimeMs)));
+    }
+
+    return m_workTimePercent;
+}
+
+/** Adds the load to most answers; some get a malformed one, instead of it or before it. */
+void SoakTarget::addLoad (HttpHeaders& headers)
+{
+    const auto draw = m_loadRandom.below (100);
+    const auto running = std::min (m_running, m_options.m_slots);
+    const auto load = fmt::format ("{},{},{}", running, m_running - running, m_options.m_slots);
+
+    if (draw < malformedLoadPercent)
+        headers.emplace_back (loadHeader, malformedLoads[m_loadRandom.below (std::size (malformedLoads))]);
+
+    if (draw >= twoLoadsPercent && draw < withoutLoadPercent)
+        return;
+
+    const bool hasWorkTime = draw >= withoutWorkTimePercent;
+    headers.emplace_back (loadHeader, hasWorkTime ? fmt::format ("{}, {}", load, workTimePercent()) : load);
+}
+
 void SoakTarget::limitRate (double perSecond, Duration duration)
 {
     if (! m_isServing || m_isDraining)
@@ -87,6 +137,7 @@
     , m_runHistory (runHistory)
     , m_options (std::move (options))
     , m_random (seed)
+    , m_loadRandom (~seed)
     , m_server (context, { [this] (const HttpRequest& request, const HttpServer::Respond& respond) {
                               return onRequest (request, respond);
                           },
@@ -154,7 +205,8 @@
 
 void SoakTarget::startWork (const std::shared_ptr<Job>& job)
 {
-    const auto base = m_options.m_workDuration * (m_health == Health::slow ? slowFactor : 1);
+    const auto usual = m_options.m_workDuration * (m_health == Health::slow ? slowFactor : 1);
+    const auto base = usual * static_cast<Duration::rep> (workTimePercent()) / 100;
     const auto spread = Duration (
         static_cast<Duration::rep> (m_random.below (static_cast<std::uint64_t> (base.count()) + 1)));
     job->m_timer.expires_after (base / 2 + spread);
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -42,6 +42,7 @@
         Duration m_workDuration {};
         ServiceName m_callee; /**< service that each request calls; empty: none */
         unsigned m_calls = 0;
+        bool m_statesLoad = false; /**< the target states its load, and the duration of its work varies */
     };
 
     /** How the target handles requests. */
@@ -77,6 +78,8 @@
     void sendNextCall (const std::shared_ptr<Job>& job);
     void onCallCompleted (CallId call, const TargetClient::Result& answer);
     void finish (const std::shared_ptr<Job>& job, int status);
+    std::uint64_t workTimePercent();
+    void addLoad (HttpHeaders& headers);
     HttpResponse makeAnswer (const std::string& requestId, std::uint16_t status, bool ran);
     void startIncarnation();
     void announce();
@@ -86,6 +89,7 @@
     RunHistory& m_runHistory;
     const Options m_options;
     Random m_random;
+    Random m_loadRandom; /**< separate, so that a seed has the same draws with and without stated loads */
     HttpServer m_server;
     HttpClient m_announcer;
     TargetClient m_outbound;
@@ -100,6 +104,8 @@
     CallId m_nextCall = 1;
     std::optional<double> m_rateLimit; /**< requests per second */
     Time m_rateLimitUntil;
+    std::uint64_t m_workTimePercent = 100; /**< of the configured work duration */
+    Time m_nextWorkTime;
     bool m_isDraining = false;
     bool m_isDrainAnnounced = false;
     bool m_isServing = false;
