HttpServer: no busy loop when a client closes its sending side during a write

Callers: a client that closes its sending side while a response is written no longer costs a core until the write ends, and a request that was read before the end is passed to the handler after the write, as before requests were read ahead.

Cause: the watch for readability was also armed while responses were only being written. A socket at its end stays readable, so that the watch completed again at once, also on servers without the hook. Its first completion ended the connection for reading and dropped the requests in the read buffer and those held behind the response.

Change: the watch is armed only while a request runs or one may be read, and the end cancels only if a request runs. Otherwise the next read finds it. A server without the hook thus does not watch during writes, as before.

Checks: a new test in contract_http_server, with and without the hook, and with a held request. It bounds the event handlers in 200 ms, and requires that all written responses arrive, that further requests are started, and that just these are cancelled.

--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -317,10 +317,13 @@
         m_stream.cancel();
     }
 
-    /** Detects that the client closed its connection or sent further bytes, which stay unread. */
+    /** Detects that the client closed its connection or sent further bytes, which stay unread. While
+       responses are only being written, neither matters unless a request may be read: a socket at its end
+       stays readable, so that the watch would complete in a loop until the write ends. */
     void watchForDisconnect()
     {
-        if (m_isWatching || m_hasBytes)
+        if (m_isWatching || m_hasBytes ||
+            ! (m_order.hasRunning() || m_order.mayRead (m_service->m_closesAfterResponses)))
             return;
 
         m_isWatching = true;
@@ -343,11 +346,18 @@
         if (state == asio::error::would_block)
             return watchForDisconnect();
 
-        if (state)
-            return cancel (m_order.disconnect());
+        if (! state)
+        {
+            m_hasBytes = true;
+            m_changed.cancel();
+        }
+        else if (m_order.hasRunning())
+        {
+            cancel (m_order.disconnect());
+        }
 
-        m_hasBytes = true;
-        m_changed.cancel();
+        // Without a running request, the end is found by a read after the write, so that a request that was
+        // read before it is still passed to the handler.
     }
 
     /** A client that sends requests ahead may have sent more than was read. */
--- a/modules/plankledge_runtime/ResponseOrder.cpp
+++ b/modules/plankledge_runtime/ResponseOrder.cpp
@@ -106,6 +106,12 @@
     });
 }
 
+bool ResponseOrder::hasRunning() const noexcept
+{
+    return std::any_of (m_entries.begin(), m_entries.end(),
+                        [] (const Entry& entry) { return entry.m_state == State::running; });
+}
+
 std::vector<ResponseOrder::Id> ResponseOrder::dropFrom (std::size_t index)
 {
     std::vector<Id> running;
--- a/modules/plankledge_runtime/ResponseOrder.h
+++ b/modules/plankledge_runtime/ResponseOrder.h
@@ -97,6 +97,9 @@
     /** @returns whether the request is running */
     bool isRunning (Id id) const noexcept;
 
+    /** @returns whether any request is running */
+    bool hasRunning() const noexcept;
+
     /** @returns whether requests may be added */
     bool isOpen() const noexcept { return m_isOpen; }
 
--- a/tests/contracts/HttpServer_test.cpp
+++ b/tests/contracts/HttpServer_test.cpp
@@ -187,7 +187,10 @@
         , m_endpoint (freeEndpoint())
     {
         REQUIRE (m_server.listen (m_endpoint).ok());
-        m_thread = std::thread ([this] { m_context.run(); });
+        m_thread = std::thread ([this] {
+            while (m_context.run_one() > 0)
+                ++m_handlersRun;
+        });
     }
 
     ~PipelineServer()
@@ -209,6 +212,9 @@
     /** @returns the targets of requests whose client disconnected */
     Targets cancelled() { return read (m_cancelled); }
 
+    /** @returns the number of event handlers that the server's thread has run */
+    std::size_t handlersRun() const { return m_handlersRun; }
+
     /** @returns the maximum number of requests that ran at the same time */
     std::size_t maxRunning() { return read (m_maxRunning); }
 
@@ -314,6 +320,7 @@
     std::size_t m_maxRunning = 0;
     std::size_t m_maxReadAhead = 0;
     int m_nextId = 0;
+    std::atomic<std::size_t> m_handlersRun { 0 };
     std::thread m_thread;
 };
 
@@ -669,4 +676,68 @@
     }
 }
 
+// Guards against a loop of readiness events, which takes a whole core until the write ends, and against the
+// loss of a request that was read before the end.
+TEST_CASE ("a client that closes its sending side while a response is written")
+{
+    bool mayRunAhead = false;
+    std::string requests;
+
+    SUBCASE ("without the hook")
+    {
+        for (int index = 0; index < 12; ++index)
+            requests += get ("/50/large");
+    }
+
+    SUBCASE ("with the hook")
+    {
+        mayRunAhead = true;
+
+        for (int index = 0; index < 12; ++index)
+            requests += get ("/50/large");
+    }
+
+    SUBCASE ("with the hook, before a request that waits for the written ones")
+    {
+        mayRunAhead = true;
+
+        for (int index = 0; index < 7; ++index)
+            requests += get ("/50/large");
+
+        requests += post ("/50/last");
+    }
+
+    // All requests are read at once. The responses need more bytes than the socket buffers hold, so that a
+    // write stays incomplete until the client reads. Then no request runs and none is started.
+    REQUIRE (requests.size() < 512); // size of the first read of Beast's parser
+    PipelineServer server (mayRunAhead);
+    Client client (server.endpoint());
+    client.write (requests);
+    REQUIRE (server.waitForStarted (1));
+    std::size_t startedBefore = 0;
+
+    while (startedBefore != server.started().size())
+    {
+        startedBefore = server.started().size();
+        std::this_thread::sleep_for (milliseconds (500));
+    }
+
+    client.m_socket.shutdown (tcp::socket::shutdown_send);
+    std::this_thread::sleep_for (milliseconds (50));
+    const auto handlersBefore = server.handlersRun();
+    std::this_thread::sleep_for (milliseconds (200));
+
+    // One event takes less than ten handlers; a loop takes tens of thousands.
+    CHECK (server.handlersRun() - handlersBefore < 10);
+    CHECK (server.cancelled().empty());
+    CHECK (server.started().size() == startedBefore);
+
+    // What was read is still passed to the handler after the write, and cancelled when the end is found.
+    const auto received = readResponses (client, untilEnd);
+    CHECK (received.m_bodies == Targets (startedBefore, std::to_string (maxBodyBytes)));
+    CHECK (received.m_end == endOfStream);
+    CHECK (server.started().size() > startedBefore);
+    CHECK (server.cancelled().size() == server.started().size() - startedBefore);
+}
+
 } // namespace plankledge::test
--- a/tests/runtime/ResponseOrder_test.cpp
+++ b/tests/runtime/ResponseOrder_test.cpp
@@ -254,6 +254,7 @@
     const Ids ids { accept (order, isSafe), accept (order, isSafe), accept (order, isSafe),
                     accept (order, isUnsafe) };
     startAll (order);
+    CHECK (order.hasRunning());
 
     SUBCASE ("while all run")
     {
@@ -286,4 +287,18 @@
     CHECK (order.isFinished());
 }
 
+TEST_CASE ("a request that is held or answered does not run")
+{
+    ResponseOrder order (readAhead);
+    const Ids ids { accept (order, isSafe), accept (order, isUnsafe) };
+    CHECK_FALSE (order.hasRunning());
+    startAll (order);
+    CHECK (order.hasRunning());
+    order.complete (ids[0], makeResponse());
+    CHECK_FALSE (order.hasRunning());
+    writeAll (order);
+    CHECK (startAll (order) == Ids { ids[1] });
+    CHECK (order.hasRunning());
+}
+
 } // namespace plankledge::test
