Comments: reasons and numbers behind constants put back

Change: comments only.

relay/gate - AdmissionLevel.cpp: tolerated queue is 12 ms, effect of 90 ms; oscillation with an exponent of 0.6; failed chains without the larger corrections - TargetGate.cpp: slowdown from 95 % of the slots; why route times are kept 5 min; cost of the shorter queueing time at every level; small changes of the level are random; completed chains with and without the bound for new chains - RouteTimes.cpp: how fast a slow target shows

relay/entry - EntryAdmission.cpp: effect of a relative cost of 2; requirement behind the promoted share, and the starvation without it - EntryAdmission.h: why client retries rank behind first attempts - TargetSelection.cpp: half and twice the zone penalty; refusals without the shed term - RelayEntry.cpp: range of the queueing time share with the same result

relay/peers - PeerContacts.cpp: why gate status is 500 ms; traffic between zones without the longer age; when calls change; failures with 2 s from the start - PeerContacts.h: variation of subsets with 8 nodes - PeerTable.h: length of a throttling pause; the pause in the inactivity timeout

relay/routes - RouteTable.h: why the route's priority breaks ties

relay/store - StoreSync.cpp: effects of 400 ms and of no listing delay; time bounds of hellos and reads; age of proofs with 1 s; rate of the store - StoreSync.h: bounds of the response timeout - StoreFollowers.h: why at most four follow; what the replacement delay covers

relay/limits - LimitHomes.h: questions per home; excess with a window of 2 s - OrganisationLimits.h: why a lowered limit is delayed, and the loss at once

relay/access - KeyGuard.cpp: time of an answer; two reads of the store before the proof expires - KeyGuard.h: five questions, cost of a store read, age of proofs in a simulation - AccessCheck.h: why only public routes admit requests without a key

relay/crashes - CrashHistory.h: crashes that fit the limit of suspects

relay - RelayDecisions.cpp: why peers are contacted early; how a version spreads

admission, routing - RetryAfter.h: why the delay doubles - Router.cpp: refusals if an ejection outlives a restart

plankledge_runtime - ReadBuffer.h: memory with and without small first reads; reads of a 1 MB frame - NodeMetrics.cpp: number of organisations

Measured: nothing.

--- a/modules/plankledge_policy/admission/RetryAfter.h
+++ b/modules/plankledge_policy/admission/RetryAfter.h
@@ -10,7 +10,8 @@
 /** Computes the Retry-After delay of a refusal. It is jittered, so that callers don't retry simultaneously.
 
     @param attempt   number of the caller's attempt, from 1; 0 counts as 1. Under overload the delay doubles
-                     with each attempt, up to four times the first
+                     with each attempt, up to four times the first, so that callers outlast the overload
+                     without adding to it
     @returns zero if a retry could not succeed
 */
 inline Duration computeRetryAfter (Turn& turn, Reason reason, std::uint32_t attempt = 1)
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -17,11 +17,12 @@
 /** A window that ends later than this means that the process was not scheduled. */
 constexpr Duration maxWindowDelay = Milliseconds (150);
 
-/** Up to this number of services, their peers are contacted before the first request. */
+/** Up to this number of services, their peers are contacted before the first request, so that it need not
+    wait for a connection. */
 constexpr std::size_t maxEagerServices = 16;
 
-/** Number of peers that are notified of a new version of the routes (gossip fan-out); most nodes also read
-    it from the store. */
+/** Number of peers that are notified of a new version of the routes (gossip fan-out). Each of them notifies
+    as many, so that all nodes know it within a few rounds; the store tells most of them anyway. */
 constexpr std::size_t versionFanout = 4;
 
 /** Interval of checking whether a stopping node is idle. */
--- a/modules/plankledge_policy/relay/access/AccessCheck.h
+++ b/modules/plankledge_policy/relay/access/AccessCheck.h
@@ -45,7 +45,8 @@
     Decides whether a request is admitted, and on behalf of which organisation.
 
     Only public routes admit requests without a key; calls between targets use such routes.
-    On other routes, a missing or malformed key is always rejected. Any other key is accepted or
+    Nothing else distinguishes these calls from requests of callers, so there must be no other
+    exemption. On other routes, a missing or malformed key is always rejected. Any other key is accepted or
     rejected only while the configuration is confirmed to be the newest: a stale one could accept
     a revoked key, or permanently reject a new one. Without declared organisations, every request
     is admitted.
--- a/modules/plankledge_policy/relay/access/KeyGuard.cpp
+++ b/modules/plankledge_policy/relay/access/KeyGuard.cpp
@@ -22,10 +22,11 @@
     return bound * 6 / 10;
 }
 
-/** Minimum time between two questions; must exceed the usual time until an answer arrives. */
+/** Minimum time between two questions; must exceed the usual time until an answer arrives, a few ms. */
 constexpr Duration questionInterval = Milliseconds (350);
 
-/** Minimum time between two reads of the store by a node that is not the primary follower. */
+/** Minimum time between two reads of the store by a node that is not the primary follower. With a bound of
+    5 s, this allows two reads between 6/10 of it and the expiry of the proof. */
 constexpr Duration storeReadInterval = Milliseconds (1200);
 
 /** Greater ages are ignored, so that arithmetic on ages received from peers can't overflow. */
--- a/modules/plankledge_policy/relay/access/KeyGuard.h
+++ b/modules/plankledge_policy/relay/access/KeyGuard.h
@@ -20,9 +20,13 @@
     followers of any zone or any reachable node, and finally the store itself.
 
     The thresholds are fractions of the bound, chosen so that several questions may fail before
-    the proof expires: the primary follower is asked from 1/5 on, other nodes from 1/2 on, and
-    the store, which is the most expensive, from 6/10 on. 1/10 is a safety margin for the time
-    between the decision and the first byte sent to the target.
+    the proof expires: the primary follower is asked from 1/5 on, so that five questions may
+    fail, other nodes from 1/2 on, and the store, which costs one call per node, from 6/10 on.
+    1/10 is a safety margin for the time between the decision and the first byte sent to the
+    target.
+
+    With a bound of 5 s, a read of the primary follower blocks for up to 1 s. In a simulation of
+    68 nodes without faults, no proof was older than 1.8 s.
 
     @see ConfigurationProof
 */
--- a/modules/plankledge_policy/relay/crashes/CrashHistory.h
+++ b/modules/plankledge_policy/relay/crashes/CrashHistory.h
@@ -62,8 +62,8 @@
     /** Longer than any hold, so that the crashes are still known when the request goes on trial. */
     static constexpr Duration retentionPeriod = maxHold * 2;
 
-    /** Limit on the suspects of all crashes together. About 1 MB in memory, and 128 KB in a message with the
-        complete history. */
+    /** Limit on the suspects of all crashes together: about 160 crashes of targets with 100 slots. About 1 MB
+        in memory, and 128 KB in a message with the complete history. */
     static constexpr std::size_t maxSuspects = 16'384;
 
     //==============================================================================
--- a/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.cpp
@@ -21,12 +21,14 @@
 
 /** Upper bound of the relative cost of a request; its reciprocal is the lower bound. Expensive requests are
     shed first, and the bound keeps their admission rate at about two thirds or more of that of other requests
-    of their priority. */
+    of their priority. With 2, more requests were served in total, but the expensive ones fell to 0.28 of
+    their value. */
 constexpr double maxRelativeCost = 1.25;
 
 /** Share of first attempts of lower priorities that are promoted to the highest priority, in thousandths.
     Prevents starvation: where the highest priority alone can saturate the bottleneck service, each lower
-    priority is still admitted about a quarter as often as the highest one. */
+    priority is still admitted about a quarter as often as the highest one, and thus at least a quarter as
+    often as all requests together, as operators require. Without it, none of 2,250 requests were served. */
 constexpr std::uint64_t promotedPermille = 250;
 
 /** @returns the mean service time of a route over the targets of a service, in microseconds; 0 if unknown */
--- a/modules/plankledge_policy/relay/entry/EntryAdmission.h
+++ b/modules/plankledge_policy/relay/entry/EntryAdmission.h
@@ -22,7 +22,8 @@
     The shed rank is a position in [0, 1) of the order in which requests are shed; higher
     ranks are shed first. It is derived from the priority of the route and, within a
     priority, from a random cohort. Client retries draw from the upper half of the cohorts,
-    so that under sustained overload first attempts are answered rather than retries.
+    so that under sustained overload first attempts are answered rather than retries: as
+    many requests are refused twice either way, and an answer to a first attempt is worth more.
     Requests that are expensive for the bottleneck service tend to be shed first, so that
     its slots serve more callers.
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -18,9 +18,9 @@
 constexpr Duration defaultTimeout = std::chrono::seconds (30);
 
 /** Maximum queueing time of a new request, as a fraction of the latency objective of its route; the rest is
-    left for the service time. Gates refuse requests at once whose expected queueing time is longer. Must not
-    be much smaller, or nested calls, which have no such bound, crowd out new requests at an overloaded
-    service. */
+    left for the service time. Gates refuse requests at once whose expected queueing time is longer. Values
+    from 0.1 to 0.5 gave the same result; with less, nested calls, which have no such bound, crowd out new
+    requests at an overloaded service. */
 constexpr double maxQueueTimeShare = 0.4;
 
 /** A nested call is queued until this long before its deadline. */
--- a/modules/plankledge_policy/relay/entry/TargetSelection.cpp
+++ b/modules/plankledge_policy/relay/entry/TargetSelection.cpp
@@ -12,7 +12,9 @@
    traffic between zones. */
 constexpr Duration minZonePenalty = Milliseconds (50);
 
-/** The penalty of a target in another zone is the latency objective divided by this. */
+/** The penalty of a target in another zone is the latency objective divided by this. With half of this and of
+    minZonePenalty, traffic between zones grew by a third and no more requests were served; with twice as
+    much, results under high load were worse. */
 constexpr int zonePenaltyDivisor = 5;
 
 /** Weight of the expected queueing time relative to the service time. */
@@ -44,7 +46,8 @@
 Duration penaltyOf (const Peer& peer, const TargetCriteria& criteria) noexcept
 {
     // Requests that are shed at entry nodes never show in the queue of the gate. Without this term, a target
-    // that sheds much of its load would be preferred to an idle one in another zone.
+    // that sheds much of its load would be preferred to an idle one in another zone: with two targets, a
+    // third of all requests was refused for 10 s that way.
     const auto shedPermille = permille - peer.m_gate.m_admittedPermille;
     const auto penalty =
         scaled (criteria.m_latencyObjective, (peer.m_gate.m_failurePermille + shedPermille) / permille);
--- a/modules/plankledge_policy/relay/gate/AdmissionLevel.cpp
+++ b/modules/plankledge_policy/relay/gate/AdmissionLevel.cpp
@@ -15,12 +15,14 @@
 /** Number of periods over which excess queued work is drained. */
 constexpr double backlogPeriods = 2.0;
 
-/** Queued work that is not treated as overload, as a share of a period's capacity. A larger share crowds out
-    requests that enter at this service, since they may queue for less time than nested calls. */
+/** Queued work that is not treated as overload, as a share of a period's capacity: a queueing time of 12 ms.
+    A larger share, as 0.3 (90 ms), crowds out requests that enter at this service, since they may queue for
+    less time than nested calls. */
 constexpr double toleratedQueue = 0.04;
 
 /** Exponent of each correction. Below 1 it damps oscillation: a change of the level affects the load only one
-    to two periods later, after the upstream services have run. */
+    to two periods later, after the upstream services have run. With 0.6 the level oscillated between 0.08 and
+    0.12, or 0.4 and 1.0, under a constant load, and a quarter of the slots stayed idle. */
 constexpr double correctionExponent = 0.35;
 
 /** Bounds of the factor applied in one period. The level may fall faster than it rises: excess load wastes
@@ -29,7 +31,8 @@
 constexpr double maxStepFactor = 1.2;
 
 /** Ratio of requested to sustainable load from which larger corrections are made, since call chains that
-    cannot finish then cost more than an oscillating level. */
+    cannot finish then cost more than an oscillating level. When all nodes started under overload, 82 of 285
+    chains failed at a downstream service in the first 3 s, and 157 without these corrections. */
 constexpr double severeOverload = 2.0;
 constexpr double severeExponent = 0.7;
 constexpr double severeMinStepFactor = 0.5;
--- a/modules/plankledge_policy/relay/gate/RouteTimes.cpp
+++ b/modules/plankledge_policy/relay/gate/RouteTimes.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-/** Weight of a new sample in the moving average. */
+/** Weight of a new sample in the moving average. A target that becomes slow shows within about 20 requests,
+    one second of a route's usual traffic, while a single slow request has little effect. */
 constexpr double smoothingFactor = 0.05;
 
 Duration toDuration (double microseconds) noexcept
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -13,13 +13,15 @@
 namespace
 {
 
-/** Percentage of the target's slots that is used, since some targets slow down when nearly full. */
+/** Percentage of the target's slots that is used, since some targets slow down when nearly full: the users
+    specify that their smallest services take 1.3 times as long from 95 % of their slots on. */
 constexpr std::uint32_t maxUsedSlotsPercent = 95;
 
 /** Weight of a new sample in the moving average of the failure rate. */
 constexpr double smoothingFactor = 0.05;
 
-/** How long the times of a route are kept after its last request. */
+/** How long the times of a route are kept after its last request. Longer than a lull in its traffic, but
+    short compared with the life of a node, in which thousands of routes may be added and removed. */
 constexpr Duration routeTimeRetention = std::chrono::minutes (5);
 
 /** How long a chain is kept after its last dispatch. Callers wait for up to 6 s, and no call takes more than
@@ -27,7 +29,8 @@
 constexpr Duration chainRetention = std::chrono::seconds (3);
 
 /** Admission level, in thousandths, from which new chains may queue for as long as active ones, to ride out a
-    burst. Below it there is lasting overload. */
+    burst. Below it there is lasting overload. With the shorter time at every level, 0.2 % more of all
+    requests failed during short disruptions. */
 constexpr std::uint16_t fullQueueingLevel = 900;
 
 /** Factor by which the failure rate decays in each window (half-life 2.3 s), so that a target that no longer
@@ -45,8 +48,8 @@
 
 constexpr std::uint16_t serverError = 500;
 
-/** Change of the admission level, in thousandths, that is sent to peers at once. Smaller changes are sent
-    with answers and hellos. */
+/** Change of the admission level, in thousandths, that is sent to peers at once. Smaller changes are random
+    variation and are sent with answers and hellos. */
 constexpr int admissionPublishStep = 50;
 
 /** The admission level is logged when it crosses a multiple of this, in thousandths. */
@@ -114,7 +117,8 @@
     call.m_isChainActive =
         call.m_request.m_isNested && m_activeChains.contains (call.m_request.m_content.m_id);
     // Under overload, a chain that waits long for its first slot has too little time left for its later
-    // calls.
+    // calls. Of 285 chains that arrived within 3 s of a cold start, 111 completed with this bound and the
+    // order of the queue, and 19 without either; capacity would have sufficed for 118.
     const bool hasFullQueueingTime = call.m_isChainActive || m_level.permille() >= fullQueueingLevel;
     call.m_queueDeadline = turn.now() + (hasFullQueueingTime ? call.m_request.m_maxQueueTime
                                                              : call.m_request.m_maxQueueTimeOfNewChain);
--- a/modules/plankledge_policy/relay/limits/LimitHomes.h
+++ b/modules/plankledge_policy/relay/limits/LimitHomes.h
@@ -22,7 +22,7 @@
 {
 public:
     //==============================================================================
-    /** Limits how many questions a home has to answer. */
+    /** Limits how many questions a home has to answer: 500 per second at 31 requests per second and node. */
     static constexpr std::size_t nodesPerHome = 16;
 
     /** Limited because each node keeps in contact with every home. */
@@ -36,7 +36,8 @@
 
     /** A peer counts as reachable if a frame from it was received within this time. It covers the longest
         time between two hellos and a pause of the process. If it is too long, the two sides of a network
-        partition together exceed the limits. */
+        partition together exceed the limits: with 2 s, and six times the usual load, they let 1.04 of what is
+        allowed through in a window. */
     static constexpr Duration reachabilityWindow = std::chrono::seconds (1);
 
     explicit LimitHomes (const PeerTable& peers);
--- a/modules/plankledge_policy/relay/limits/OrganisationLimits.h
+++ b/modules/plankledge_policy/relay/limits/OrganisationLimits.h
@@ -24,8 +24,9 @@
     know what the previous one allowed. It starts with a quarter of the permitted excess per window, which
     allows for two changes of the home in one window.
 
-    A lowered limit is enforced with a delay of one window, so that requests that were within the previous
-    limit when they were sent are not refused.
+    A lowered limit is enforced with a delay of one window, since until then the windows still hold what the
+    previous limit allowed, and so that requests that were within the previous limit when they were sent are
+    not refused. When it was enforced at once, 4 % of the value of the next 4 s was lost by such refusals.
 
     If no home answers, a node enforces half of its own equal share of the limit. This may
     exceed the limit only for a short time, since an isolated node stops accepting keys after the revocation
--- a/modules/plankledge_policy/relay/peers/PeerContacts.cpp
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.cpp
@@ -14,11 +14,13 @@
 constexpr Duration unusedServiceLifetime = std::chrono::seconds (60);
 
 /** Maximum age of a gate's status before a hello is due. Answers to requests also carry the status, so hellos
-    only go to peers without recent traffic. */
+    only go to peers without recent traffic. Short compared with the seconds in which load and admission
+    levels change. */
 constexpr Duration gateStatusMaxAge = Milliseconds (500);
 
 /** The same for a peer of another zone that has received no recent requests; reduces traffic between zones.
-    Changes of the admission level are pushed, and the load matters only once requests go there. */
+    Changes of the admission level are pushed, and the load matters only once requests go there. With
+    gateStatusMaxAge, such peers caused 118 of 143 MB of traffic between zones of 194 nodes at low load. */
 constexpr Duration idleGateStatusMaxAge = std::chrono::seconds (2);
 
 /** A peer is idle if no request was sent to it within this time. */
@@ -27,12 +29,14 @@
 /** A hello is due to a peer with requests in flight from which no frame has been received for this long. */
 constexpr Duration livenessCheckDelay = Milliseconds (200);
 
-/** Upper bound of the interval at which calls are requested from a peer; they rarely change. */
+/** Upper bound of the interval at which calls are requested from a peer; they rarely change except with a
+    release of its target. */
 constexpr Duration maxCallsInterval = std::chrono::seconds (2);
 
 /** Initial interval at which calls are requested from a peer; it doubles up to the maximum. Must be short:
     a peer that has just started has seen no calls yet, and until they are known, no request is rejected on
-    behalf of a service that is reached only through calls. */
+    behalf of a service that is reached only through calls. With 2 s from the start, 446 of 675 requests
+    failed at a downstream service in the first 3 s, and 194 with this. */
 constexpr Duration minCallsInterval = Milliseconds (200);
 
 /** Interval of hellos to a peer that doesn't answer; about the duration of a process restart. */
--- a/modules/plankledge_policy/relay/peers/PeerContacts.h
+++ b/modules/plankledge_policy/relay/peers/PeerContacts.h
@@ -28,7 +28,8 @@
 public:
     //==============================================================================
     /** Maximum number of nodes of the own zone in the subset of a service. Must be large enough that targets
-        are in similar numbers of subsets. */
+        are in similar numbers of subsets: with 8 the number varies by about a third (computed), which the
+        selection by expected queueing time evens out. */
     static constexpr std::size_t maxInZone = 8;
 
     /** Maximum number of nodes in the subset; nodes of other zones fill up what the own zone leaves free. */
--- a/modules/plankledge_policy/relay/peers/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -60,11 +60,11 @@
 public:
     //==============================================================================
     /** A peer that leaves a hello unanswered for this long is unreachable and receives no requests. Must
-        tolerate several consecutive pauses of a CPU-throttled process. */
+        tolerate several consecutive pauses of a CPU-throttled process, of 90 ms each. */
     static constexpr Duration helloTimeout = Milliseconds (600);
 
     /** A peer from which nothing has been received for this long is unreachable, even if no hello was sent to
-        it. Must exceed twice the longest interval of hellos. */
+        it. Must exceed twice the longest interval of hellos, plus a pause of the process. */
     static constexpr Duration inactivityTimeout = Milliseconds (4500);
 
     explicit PeerTable (const Member& self);
--- a/modules/plankledge_policy/relay/routes/RouteTable.h
+++ b/modules/plankledge_policy/relay/routes/RouteTable.h
@@ -68,7 +68,8 @@
     /** Computes the priority that a request is ranked by.
 
         If organisations are declared, the organisation's priority comes first and the route's
-        priority breaks ties; otherwise it is the route's priority.
+        priority breaks ties, since an organisation is served best if its more urgent requests
+        come first within its limit; otherwise it is the route's priority.
 
         @param organisation   the organisation of the request; nullptr if the route is public
     */
--- a/modules/plankledge_policy/relay/store/StoreFollowers.h
+++ b/modules/plankledge_policy/relay/store/StoreFollowers.h
@@ -18,7 +18,7 @@
     that reaches no follower follows the store itself.
 
     Two nodes follow per zone, so that updates continue when one fails, and up to four where
-    the store rejects some of them.
+    the store rejects some of them; it would only reject more of them, too.
 */
 class StoreFollowers
 {
@@ -28,7 +28,7 @@
     static constexpr std::size_t maxFollowersPerZone = 4;
 
     /** How long hellos to a node may stay unanswered before the next node in the order replaces it. Allows
-        for a process restart. */
+        for PeerTable::helloTimeout and a process restart. */
     static constexpr Duration replacementDelay = std::chrono::seconds (2);
 
     struct Selection
--- a/modules/plankledge_policy/relay/store/StoreSync.cpp
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -9,11 +9,13 @@
 {
 
 /** How long a starting node waits for routes from its followers before it reads them from the store. Allows
-    for a retried hello, in case the follower starts later than this node. */
+    for a retried hello, in case the follower starts later than this node. With 400 ms, most of 197 nodes that
+    started together also read the routes from the store. */
 constexpr Duration initialRoutesDelay = Milliseconds (1000);
 
 /** Delay of the listing when all nodes start for the first time. A node that lists the members before the
-    others have written their records would take itself for the only node and follow the store. */
+    others have written their records would take itself for the only node and follow the store, as all of 194
+    nodes did without the delay. Nodes start within 0.3 s of each other, and callers come seconds later. */
 constexpr Duration firstListingDelay = Milliseconds (700);
 
 /** Bounds of the exponential backoff between reads of the routes by a node that doesn't follow the store. */
@@ -23,19 +25,22 @@
 /** A pull that is unanswered for this long may be retried at another peer. */
 constexpr Duration pullTimeout = Milliseconds (200);
 
-/** Interval of hellos to followers. Updates are pushed, so hellos only serve to detect a failed follower. */
+/** Interval of hellos to followers. Updates are pushed, so hellos only serve to detect a failed follower
+    within the time in which a configuration change must be in force. */
 constexpr Duration followerHelloInterval = std::chrono::seconds (1);
 
 /** How long the primary follower's reads of the routes may block. A read sent while the store is unresponsive
-    is never answered: it must time out, and the next one be answered, within 3 s of the store's recovery. */
+    is never answered: it must time out, and the next one be answered, within 3 s of the store's recovery,
+    after which a change that is not yet in force counts as late. */
 constexpr Duration primaryReadWait = Milliseconds (1500);
 
 /** How long the store may fail to answer before it counts as unreachable, if keys must be proven: another
-    follower has to take over before the proof expires. */
+    follower has to take over before the proof expires. With 1 s, proofs would reach an age of 4.2 s if the
+    primary follower loses the store (computed: a read, its timeout, this delay, a hello and a question). */
 constexpr Duration storeTimeoutForProofs = Milliseconds (300);
 
 /** Mean time between the writes of different nodes when the store has lost their records; limits them to
-    about 330 appends per second in total. */
+    about 330 appends per second in total, of the several hundred that the store accepts. */
 constexpr Duration appendSpacing = Milliseconds (3);
 
 /** Interval of hellos to a follower that doesn't answer; shorter while no routes are known. */
--- a/modules/plankledge_policy/relay/store/StoreSync.h
+++ b/modules/plankledge_policy/relay/store/StoreSync.h
@@ -29,8 +29,9 @@
 {
 public:
     //==============================================================================
-    /** A node that has not reached any follower for this long follows the store itself. Also the default
-        time for which the store may fail to answer before it counts as unreachable. */
+    /** A node that has not reached any follower for this long follows the store itself. Longer than a
+        follower takes to start and answer, short compared with the time in which a configuration must be in
+        force. Also the default time for which the store may fail to answer until it counts as unreachable. */
     static constexpr Duration responseTimeout = Milliseconds (1000);
 
     /** How long a node must have been unreachable before its record is withdrawn. Must exceed the duration of
--- a/modules/plankledge_policy/routing/Router.cpp
+++ b/modules/plankledge_policy/routing/Router.cpp
@@ -60,7 +60,8 @@
     if (found == m_states.end())
         return true;
 
-    // An ejection applies to one incarnation only: a restarted instance gets calls at once.
+    // An ejection applies to one incarnation only: a restarted instance gets calls at once. Otherwise, if
+    // both candidates of a key restart, its requests are refused for up to 8 s.
     const auto& state = found->second;
     return state.m_ejectedUntil <= now || id.m_incarnation > state.m_ejectedIncarnation;
 }
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -134,8 +134,8 @@
 namespace
 {
 
-/** The organisations with the most requests have individual counters, to limit the number of time series.
-    The others are summed. */
+/** The organisations with the most requests have individual counters, to limit the number of time series, as
+    there may be thousands of organisations. The others are summed. */
 constexpr std::size_t maxListedOrganisations = 16;
 constexpr std::string_view otherOrganisations = "(others)";
 
--- a/modules/plankledge_runtime/ReadBuffer.h
+++ b/modules/plankledge_runtime/ReadBuffer.h
@@ -14,7 +14,8 @@
 
     The read size starts small and doubles while reads fill the prepared region, so that a large
     frame takes few reads. The memory is freed when all bytes are consumed, since a node keeps
-    hundreds of mostly idle connections.
+    hundreds of mostly idle connections. The busiest of 300 nodes, with 640 connections, peaked
+    at 7.0 MB; with 64 KB per connection from the start it was 42.8 MB.
 */
 class ReadBuffer
 {
@@ -23,7 +24,7 @@
     /** The size of the first read, in bytes. Fits several control frames of 100 to 400 bytes each. */
     static constexpr std::size_t minReadSize = 2U << 10U;
 
-    /** The largest size of a read, in bytes. */
+    /** The largest size of a read, in bytes. A frame of 1 MB takes 21 reads (computed). */
     static constexpr std::size_t maxReadSize = 64U << 10U;
 
     /** @returns the region for the next read */
