--- a/modules/plankledge_policy/relay/gate/RouteTimes.cpp
+++ b/modules/plankledge_policy/relay/gate/RouteTimes.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-/** Weight of a new sample in the moving averages. */
+/** Weight of a new sample in the moving averages. A target that becomes slow shows within about 20 requests,
+    one second of a route's usual traffic, while a single slow request has little effect. */
 constexpr double smoothingFactor = 0.05;
 
 /** Time constant of the weights in the regression. The dependence on the work time is a property of the route
