HttpServer: request bodies count against the bound of a connection; no body in answers to HEAD

Callers: an answer to HEAD has no body, on all servers; Content-Length still states the size. Less is read ahead while requests with large bodies run.

Cause: only the bodies of responses that wait were bounded by 1 MB a connection, so that 8 requests with bodies of 1 MB could be held at once. A body behind an answer to HEAD is read by the client as the start of the next answer, which matters once HEAD may be sent ahead.

Change: ResponseOrder counts the body of a request until its response replaces it, in the same sum. The last request read, and the responses to running requests, may still exceed the bound. toMessage drops the body if the request was HEAD.

--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -37,7 +37,8 @@
 constexpr std::size_t maxDiscardedBytes = 8U << 20U;
 
 /** Bounds for connections on which requests may run at the same time. Eight hide the durations of several
-    requests from a caller, while a connection holds at most as many request bodies. */
+    requests from a caller. The bytes of bodies are bounded since a node has 160 MB of memory for up to 4,100
+    descriptors. */
 constexpr ResponseOrder::Limits readAheadLimits { 8, 1U << 20U };
 
 HttpRequest toRequest (http::request<http::string_body> message)
@@ -54,7 +55,10 @@
     return request;
 }
 
-http::response<http::string_body> toMessage (HttpResponse response, unsigned version, bool keepAlive)
+/** @param isHead   whether the response answers a HEAD request. It is written without its body, which the
+   client would take for the next response; Content-Length still states the size. */
+http::response<http::string_body> toMessage (HttpResponse response, unsigned version, bool keepAlive,
+                                             bool isHead)
 {
     http::response<http::string_body> message (static_cast<http::status> (response.m_status), version);
 
@@ -67,6 +71,10 @@
     message.body() = std::move (response.m_body);
     message.keep_alive (keepAlive);
     message.prepare_payload();
+
+    if (isHead)
+        message.body().clear();
+
     return message;
 }
 
@@ -143,6 +151,7 @@
 {
     HttpRequest m_request;
     unsigned m_version = 11;
+    bool m_isHead = false;
     std::function<void()> m_onDisconnect;
 };
 
@@ -218,10 +227,12 @@
     {
         const auto version = message.version();
         const bool isLast = ! message.keep_alive();
+        const bool isHead = message.method() == http::verb::head;
         auto request = toRequest (std::move (message));
         const auto& hooks = m_service->m_hooks;
-        const auto id = m_order.accept (hooks.m_mayRunAhead && hooks.m_mayRunAhead (request), isLast);
-        m_exchanges[id] = { std::move (request), version, {} };
+        const auto id = m_order.accept (hooks.m_mayRunAhead && hooks.m_mayRunAhead (request), isLast,
+                                        request.m_body.size());
+        m_exchanges[id] = { std::move (request), version, isHead, {} };
 
         if (m_order.size() > 1 && hooks.m_onReadAhead)
             hooks.m_onReadAhead (m_order.size());
@@ -232,7 +243,7 @@
     void respondToError (const beast::error_code& error)
     {
         m_hasReadError = true;
-        const auto id = m_order.accept (false, true);
+        const auto id = m_order.accept (false, true, 0);
         m_exchanges[id] = {};
         respond (id, m_service->m_hooks.m_onError (classify (error)));
     }
@@ -269,8 +280,10 @@
         if (! next.has_value())
             return;
 
-        const auto exchange = m_exchanges.extract (next->m_id);
-        m_message = toMessage (std::move (next->m_response), exchange.mapped().m_version, ! next->m_isLast);
+        const auto extracted = m_exchanges.extract (next->m_id);
+        const auto& exchange = extracted.mapped();
+        m_message =
+            toMessage (std::move (next->m_response), exchange.m_version, ! next->m_isLast, exchange.m_isHead);
         m_stream.expires_after (writeTimeout);
         http::async_write (m_stream, m_message,
                            [self = shared_from_this()] (const beast::error_code& error, std::size_t) {
--- a/modules/plankledge_runtime/ResponseOrder.cpp
+++ b/modules/plankledge_runtime/ResponseOrder.cpp
@@ -12,17 +12,19 @@
         return m_isOpen;
 
     // A request behind one that is held could not run either, and would only take memory.
-    return ! isDraining && m_entries.size() < m_limits.m_requests &&
-           m_waitingBytes < m_limits.m_waitingBytes && m_entries.back().m_state != State::held;
+    return ! isDraining && m_entries.size() < m_limits.m_requests && m_bodyBytes < m_limits.m_bodyBytes &&
+           m_entries.back().m_state != State::held;
 }
 
-ResponseOrder::Id ResponseOrder::accept (bool mayRunAhead, bool isLast)
+ResponseOrder::Id ResponseOrder::accept (bool mayRunAhead, bool isLast, std::size_t bodyBytes)
 {
     assert (m_isOpen && "no request is accepted after the last one");
     Entry entry;
     entry.m_id = m_nextId++;
     entry.m_mayRunAhead = mayRunAhead;
     entry.m_isLast = isLast;
+    entry.m_bytes = bodyBytes;
+    m_bodyBytes += bodyBytes;
     m_entries.push_back (std::move (entry));
     m_isOpen = ! isLast;
     return m_entries.back().m_id;
@@ -58,10 +60,11 @@
         return {};
 
     found->m_state = State::ready;
+    m_bodyBytes -= found->m_bytes;
     found->m_bytes = response.m_body.size();
     found->m_isLast = found->m_isLast || response.m_closesConnection;
     found->m_response = std::move (response);
-    m_waitingBytes += found->m_bytes;
+    m_bodyBytes += found->m_bytes;
 
     if (! found->m_isLast)
         return {};
@@ -86,7 +89,7 @@
 {
     assert (m_isWriting && "no response was released");
     m_isWriting = false;
-    m_waitingBytes -= m_entries.front().m_bytes;
+    m_bodyBytes -= m_entries.front().m_bytes;
     m_entries.pop_front();
 }
 
@@ -123,7 +126,7 @@
         if (entry.m_state == State::running)
             running.push_back (entry.m_id);
 
-        m_waitingBytes -= entry.m_bytes;
+        m_bodyBytes -= entry.m_bytes;
         m_entries.pop_back();
     }
 
--- a/modules/plankledge_runtime/ResponseOrder.h
+++ b/modules/plankledge_runtime/ResponseOrder.h
@@ -31,9 +31,10 @@
         /** Requests that were read and whose response is not written. */
         std::size_t m_requests = 1;
 
-        /** Bytes of response bodies that wait to be written. Nothing is read from this size on; the running
-            requests may still exceed it. */
-        std::size_t m_waitingBytes = maxBodyBytes;
+        /** Bytes of the bodies of unanswered requests and of responses that wait to be written. Nothing is
+           read from this size on; the last request read and the responses to running ones may still exceed
+           it. */
+        std::size_t m_bodyBytes = maxBodyBytes;
 
         auto operator<=> (const Limits&) const = default;
     };
@@ -61,8 +62,9 @@
 
         @param mayRunAhead   whether it may run at the same time as others for which this holds too
         @param isLast        whether the connection closes after its response
+        @param bodyBytes     size of its body
     */
-    Id accept (bool mayRunAhead, bool isLast);
+    Id accept (bool mayRunAhead, bool isLast, std::size_t bodyBytes);
 
     /** Marks the next request as running, if it may run now: if none is before it, or if it and all before it
         may run ahead.
@@ -124,7 +126,7 @@
         State m_state = State::held;
         bool m_mayRunAhead = false;
         bool m_isLast = false;
-        std::size_t m_bytes = 0; /**< size of the response body */
+        std::size_t m_bytes = 0; /**< size of the request's body, then of the response's */
         HttpResponse m_response;
     };
 
@@ -133,7 +135,7 @@
     const Limits m_limits;
     std::deque<Entry> m_entries;
     Id m_nextId = 1;
-    std::size_t m_waitingBytes = 0;
+    std::size_t m_bodyBytes = 0;
     bool m_isOpen = true;
     bool m_isWriting = false;
 };
--- a/tests/contracts/HttpServer_test.cpp
+++ b/tests/contracts/HttpServer_test.cpp
@@ -740,4 +740,32 @@
     CHECK (server.cancelled().size() == server.started().size() - startedBefore);
 }
 
+// Guards against a body behind an answer to HEAD, which the client reads as the start of the next answer.
+TEST_CASE ("an answer to HEAD has no body")
+{
+    bool mayRunAhead = false;
+    SUBCASE ("without the hook")
+    {
+        mayRunAhead = false;
+    }
+    SUBCASE ("with the hook")
+    {
+        mayRunAhead = true;
+    }
+
+    PipelineServer server (mayRunAhead);
+    Client client (server.endpoint());
+    client.write ("HEAD /20/first HTTP/1.1\r\nHost: a\r\n\r\n" + get ("/0/second"));
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> head;
+    head.skip (true);
+    http::read (client.m_socket, buffer, head);
+    CHECK (head.get()[http::field::content_length] == "9"); // the size of "/20/first"
+    http::response<http::string_body> second;
+    boost::system::error_code error;
+    http::read (client.m_socket, buffer, second, error);
+    CHECK_FALSE (error);
+    CHECK (second.body() == "/0/second");
+}
+
 } // namespace plankledge::test
--- a/tests/runtime/ResponseOrder_test.cpp
+++ b/tests/runtime/ResponseOrder_test.cpp
@@ -28,7 +28,7 @@
 /** Adds a request that does not ask for the connection to close. */
 ResponseOrder::Id accept (ResponseOrder& order, bool mayRunAhead)
 {
-    return order.accept (mayRunAhead, false);
+    return order.accept (mayRunAhead, false, 0);
 }
 
 /** Starts all requests that may run now. */
@@ -142,7 +142,7 @@
         ResponseOrder order (readAhead);
         const Ids ids { accept (order, isSafe), accept (order, isSafe) };
         startAll (order);
-        order.complete (ids[1], makeResponse (readAhead.m_waitingBytes - 1));
+        order.complete (ids[1], makeResponse (readAhead.m_bodyBytes - 1));
         CHECK (order.mayRead (false));
         order.complete (ids[0], makeResponse (1));
         CHECK_FALSE (order.mayRead (false));
@@ -154,6 +154,25 @@
         CHECK (order.mayRead (false));
     }
 
+    SUBCASE ("bytes of requests and responses together")
+    {
+        ResponseOrder order (readAhead);
+        const auto first = order.accept (isSafe, false, readAhead.m_bodyBytes - 2);
+        const auto second = order.accept (isSafe, false, 1);
+        startAll (order);
+        CHECK (order.mayRead (false));
+        order.complete (second, makeResponse (2));
+        CHECK_FALSE (order.mayRead (false));
+        order.complete (first, makeResponse (3));
+        CHECK (order.mayRead (false)); // the request's body is no longer counted
+        writeAll (order);
+        const auto third = order.accept (isSafe, false, readAhead.m_bodyBytes);
+        startAll (order);
+        CHECK_FALSE (order.mayRead (false));
+        order.complete (third, makeResponse());
+        CHECK (order.mayRead (false));
+    }
+
     SUBCASE ("the default: one at a time")
     {
         ResponseOrder order { ResponseOrder::Limits() };
@@ -208,7 +227,7 @@
 TEST_CASE ("nothing is read behind a request that asks to close, and its response is the last")
 {
     ResponseOrder order (readAhead);
-    const Ids ids { order.accept (isSafe, false), order.accept (isSafe, true) };
+    const Ids ids { order.accept (isSafe, false, 0), order.accept (isSafe, true, 0) };
     CHECK (startAll (order) == ids);
     CHECK_FALSE (order.mayRead (false));
     order.complete (ids[0], makeResponse());
