--- a/tests/relay/entry/OfferPolicy_test.cpp
+++ b/tests/relay/entry/OfferPolicy_test.cpp
@@ -102,6 +102,24 @@
     CHECK (offer() == fullTime);
 }
 
+// Guards against requests that wait in time for the stated rate but are refused because of a short offer,
+// which is final: such a refusal is not redirected.
+TEST_CASE ("a target that states a rate limit gets the full queueing time")
+{
+    Offers offers;
+    CHECK (offers.m_policy.offer (offers.m_request, offers.peer ("one"), start) ==
+           OfferPolicy::maxShortQueueTime);
+    CHECK (offers.m_request.m_shortOffers.contains ("one"));
+
+    offers.m_peers.onGate ("one", { true, 10, 0, {}, 0, 1000, GateRate { 100.0 } }, start);
+    CHECK (offers.m_policy.offer (offers.m_request, offers.peer ("one"), start) == fullTime);
+    CHECK_FALSE (offers.m_request.m_shortOffers.contains ("one"));
+
+    // Only the limit of the target itself counts.
+    CHECK (offers.m_policy.offer (offers.m_request, offers.peer ("two"), start) ==
+           OfferPolicy::maxShortQueueTime);
+}
+
 TEST_CASE ("an offer is never longer than the queueing time that is left")
 {
     Offers offers;
--- a/tests/relay/entry/RetryRank_test.cpp
+++ b/tests/relay/entry/RetryRank_test.cpp
@@ -550,4 +550,89 @@
     CHECK (byPriority[0] > byPriority[1] + byPriority[2]);
 }
 
+//==============================================================================
+namespace
+{
+
+/** The route at which a chain begins; the routes of its nested calls have the opposite properties. */
+struct ChainRow
+{
+    const char* m_name;
+    bool m_isRepeatable;
+    Duration m_objective;
+    std::uint16_t m_priority;
+    bool m_isTolerant;
+};
+
+const ChainRow chainRows[] = {
+    { "tolerant, not repeatable", false, Milliseconds (2500), 2, true },
+    { "not tolerant, repeatable", true, Milliseconds (300), 1, false },
+};
+
+Route makeChainRoute (const RouteName& name, bool isRepeatable, Duration objective, std::uint32_t priority)
+{
+    auto route = makeRoute (name, name, isRepeatable);
+    route.m_latencyObjective = objective;
+    route.m_priority = priority;
+    return route;
+}
+
+} // namespace
+
+// Guards against retries and offers of deeper calls that follow the route of the call, or the promoted
+// priority, instead of the route at which the chain began.
+TEST_CASE ("the properties of the first route of a chain reach a nested call two hops down the chain")
+{
+    for (const auto& row : chainRows)
+    {
+        CAPTURE (row.m_name);
+        RelayRig rig;
+        rig.settings().m_tolerantObjective = seconds (2);
+        std::vector<RelayRequest> received;
+
+        for (const auto* name : { "entry", "first", "second", "third" })
+            rig.add (name, name);
+
+        const auto callTo = [&rig] (const std::string& path) {
+            return [&rig, path] (RelayRig&, const InstanceName& instance, const RelayToTarget& dispatch) {
+                rig.send (instance, dispatch.m_content.m_id + ".c", path);
+            };
+        };
+        rig.setTarget ("first", callTo ("/second/x"));
+        rig.setTarget ("second", callTo ("/third/x"));
+        rig.setTarget ("third", [&] (RelayRig&, const InstanceName& instance, const RelayToTarget& dispatch) {
+            const auto running = rig.reducer (instance).relay().gate().findRunning (dispatch.m_content.m_id);
+            received.push_back (running.value().m_request);
+        });
+
+        const auto nestedObjective = row.m_isTolerant ? Milliseconds (300) : Milliseconds (2500);
+        rig.publish (
+            makeTable (1, { makeChainRoute ("first", row.m_isRepeatable, row.m_objective, row.m_priority),
+                            makeChainRoute ("second", ! row.m_isRepeatable, nestedObjective, 0),
+                            makeChainRoute ("third", ! row.m_isRepeatable, nestedObjective, 3) }));
+        rig.run (seconds (1));
+
+        constexpr std::size_t chains = 12;
+
+        for (std::size_t index = 0; index < chains; ++index)
+            rig.send ("entry", "r" + std::to_string (index), "/first/x");
+
+        rig.run (Milliseconds (200));
+        REQUIRE (received.size() == chains);
+
+        for (const auto& request : received)
+        {
+            CHECK (request.m_isNested);
+            CHECK (request.m_isChainRepeatable == row.m_isRepeatable);
+            CHECK (request.m_isTolerantChain == row.m_isTolerant);
+            CHECK (request.m_retryPriority == row.m_priority);
+        }
+
+        // The promoted priority of some chains differs from the one that is checked above.
+        CHECK (std::any_of (received.begin(), received.end(), [&] (const RelayRequest& request) {
+            return request.m_effectivePriority < row.m_priority;
+        }));
+    }
+}
+
 } // namespace plankledge::test
--- a/tests/relay/entry/TargetSelection_test.cpp
+++ b/tests/relay/entry/TargetSelection_test.cpp
@@ -200,12 +200,27 @@
     MESSAGE ("selected of 1000, tolerant: empty ", tolerant["empty"], ", nearly full ", tolerant["full"],
              "; other: empty ", other["empty"], ", nearly full ", other["full"]);
 
-    // The penalty (24 ms) exceeds nearly all of the jitter (10 % of 258 ms); the others choose at random.
+    // The penalty (19 ms) decides: costs of tolerant chains have no jitter, and only probes select the other
+    // target. Chains that are not tolerant have no penalty, and jitter selects either target.
     CHECK (tolerant["empty"] > 900);
     CHECK (other["full"] > 300);
     CHECK (other["full"] < 700);
 }
 
+// Guards against all entries sending to the target that was the emptiest at its last status, which is as old
+// as many requests take.
+TEST_CASE ("a latency-tolerant chain has no preference among targets below 0.8 of their slots")
+{
+    const Candidate empty { "empty", "a", 0, 30, 0 };
+    const Candidate below { "below", "a", 15, 30, 0 };
+    const Candidate above { "above", "a", 17, 30, 0 };
+
+    // Of equal ones the first candidate is selected; only probes select the other one.
+    CHECK (countSelections ({ below, empty }, true)["below"] > 950);
+    CHECK (countSelections ({ empty, below }, true)["empty"] > 950);
+    CHECK (countSelections ({ above, empty }, true)["empty"] > 950);
+}
+
 TEST_CASE ("a target that was tried is not selected again, and every target of the zone is probed at times")
 {
     const auto peers = makePeers ({ { "fast", "a", 0, 20, 0 }, { "slow", "a", 0, 400, 0 } });
