A node's process ends when its connections have ended, and refuses requests from the decision to exit on

Cause: RelayDecisions emitted Exit when entry and gate were idle, but the entry went on to accept requests until 2.5 s after the stop request, nested calls without limit; Node::exit waited for a fixed 200 ms and stopped the event loop whatever was in progress. Change: with Exit, the entry ends all requests and refuses later ones as not run; the keyed node refuses its target's calls from when it was idle. The process ends when its HTTP servers, the pending append and then its links to peers have ended, within a bound. At the end of the grace time requests in progress are answered. m_context.stop() is left in one place. Why it works: after the decision nothing is sent on, so that only responses remain, and the process waits for exactly these.

--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -46,6 +46,7 @@
     std::uint64_t m_acquittals = 0;          /**< suspected requests that the target completed */
     std::uint64_t m_malformedRateLimits = 0; /**< answers of the target, whose rate limit can't be read */
     std::uint64_t m_storeRestores = 0;       /**< restores of the store from an older backup */
+    std::uint64_t m_requestsAtExit = 0;      /**< requests refused since the node was about to exit */
     std::uint64_t m_lateAnswers = 0;         /**< answers to calls that had already ended */
     std::uint64_t m_attached = 0;            /**< duplicates attached to the running request */
     std::uint64_t m_replayed = 0;            /**< duplicates answered from the record */
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -156,12 +156,14 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_notice, m_subject, m_value); }
 };
 
-/** Ends the process. */
+/** Ends the process once the responses to all requests have been sent. */
 struct Exit
 {
+    Duration m_maxDelay {}; /**< after which the process ends in any case */
+
     auto operator<=> (const Exit&) const = default;
 
-    template <class Archive> void serialize (Archive&) {}
+    template <class Archive> void serialize (Archive& archive) { archive (m_maxDelay); }
 };
 
 //==============================================================================
--- a/modules/plankledge_policy/KeyedRequests.cpp
+++ b/modules/plankledge_policy/KeyedRequests.cpp
@@ -47,7 +47,8 @@
     , m_join (m_membership, m_inbound.records(), [this] (Turn&) { onEstablished(); })
     , m_drain (m_membership, m_inbound.records(),
                { [this] (Turn&) { announceState(); }, [this] { m_inbound.gate().close(); },
-                 [this] { return m_inbound.isIdle() && m_outgoing.isIdle(); } })
+                 [this] { return m_inbound.isIdle() && m_outgoing.isIdle(); },
+                 [this] (Turn& turn) { m_outgoing.endAll (turn, Reason::draining); } })
 {
 }
 
@@ -160,8 +161,11 @@
 //==============================================================================
 void KeyedRequests::handle (const RequestReceived& event)
 {
-    if (m_drain.refusesNewCalls() && ! event.m_isOutbound)
+    if (m_drain.refusesAllCalls() || (m_drain.refusesNewCalls() && ! event.m_isOutbound))
+    {
+        m_turn.counters().m_requestsAtExit += m_drain.hasEnded() ? 1 : 0;
         return OutgoingCalls::refuse (m_turn, event, Reason::draining);
+    }
 
     if (m_inbound.gate().isInputStale (m_turn.now()))
         return OutgoingCalls::refuse (m_turn, event, Reason::deadlineExceeded);
--- a/modules/plankledge_policy/calls/OutgoingCalls.cpp
+++ b/modules/plankledge_policy/calls/OutgoingCalls.cpp
@@ -421,6 +421,17 @@
     }
 }
 
+void OutgoingCalls::endAll (Turn& turn, Reason reason)
+{
+    while (! m_requests.empty())
+    {
+        auto& [id, request] = *m_requests.begin();
+        const bool wasSent = request.m_instance.has_value();
+        cancelCall (turn, request);
+        giveUp (turn, id, wasSent ? Outcome::unknown : Outcome::notRun, reason);
+    }
+}
+
 void OutgoingCalls::cancelCall (Turn& turn, Request& request)
 {
     if (! request.m_instance.has_value())
--- a/modules/plankledge_policy/calls/OutgoingCalls.h
+++ b/modules/plankledge_policy/calls/OutgoingCalls.h
@@ -60,6 +60,10 @@
     /** Cancels the nested requests of an inbound call that has ended. */
     void cancelChildrenOf (Turn& turn, CallId parent);
 
+    /** Ends all requests, since the node exits: those that have not been sent did not run, those that wait
+       for an answer may have. */
+    void endAll (Turn& turn, Reason reason);
+
     bool isIdle() const noexcept { return m_requests.empty(); }
     std::size_t size() const noexcept { return m_requests.size(); }
 
--- a/modules/plankledge_policy/membership/DrainProtocol.cpp
+++ b/modules/plankledge_policy/membership/DrainProtocol.cpp
@@ -12,6 +12,9 @@
 constexpr Duration checkPeriod = Milliseconds (100);
 constexpr Duration handoverTimeout = std::chrono::seconds (5);
 constexpr Duration noticeTimeout = std::chrono::seconds (3);
+
+/** How long the process may take to send its last responses. */
+constexpr Duration maxExitDelay = std::chrono::seconds (5);
 constexpr std::size_t maxRecordsPerBatch = 200;
 constexpr std::size_t maxFencesPerBatch = 20000;
 
@@ -175,7 +178,8 @@
 void DrainProtocol::exit (Turn& turn)
 {
     m_phase = Phase::done;
-    turn.emit (Exit {});
+    m_hooks.m_endRequests (turn);
+    turn.emit (Exit { maxExitDelay });
 }
 
 } // namespace plankledge
--- a/modules/plankledge_policy/membership/DrainProtocol.h
+++ b/modules/plankledge_policy/membership/DrainProtocol.h
@@ -35,6 +35,8 @@
         std::function<void (Turn&)> m_announce; /**< announces to other nodes that this node is leaving */
         std::function<void()> m_refuseNewCalls;
         std::function<bool()> m_isIdle;
+        std::function<void (Turn&)>
+            m_endRequests; /**< answers the requests in progress, since the node exits */
     };
 
     DrainProtocol (Membership& membership, RecordTable& records, Hooks hooks);
@@ -56,9 +58,15 @@
 
     bool isDraining() const noexcept { return m_phase != Phase::none; }
 
-    /** @returns whether new requests are refused */
+    /** @returns whether new requests of callers are refused */
     bool refusesNewCalls() const noexcept { return m_phase > Phase::announcing; }
 
+    /** @returns whether requests of the target are refused as well: from when the node was idle */
+    bool refusesAllCalls() const noexcept { return m_phase > Phase::finishing; }
+
+    /** @returns whether the process is about to exit */
+    bool hasEnded() const noexcept { return m_phase == Phase::done; }
+
 private:
     //==============================================================================
     enum class Phase : std::uint8_t
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -36,9 +36,12 @@
    callers after two failed probes. */
 constexpr Duration minStopDuration = Milliseconds (2400);
 
-/** A stopping node exits this long before it would be killed. */
+/** A stopping node exits this long before it would be killed, even if it isn't idle. */
 constexpr Duration stopMargin = Milliseconds (500);
 
+/** Margin until it would be killed, for the end of the process after all connections have been closed. */
+constexpr Duration killMargin = Milliseconds (200);
+
 } // namespace
 
 //==============================================================================
@@ -500,7 +503,8 @@
         if (! isDone)
             m_turn.emit (WriteLog { Notice::drainTimedOut, {}, toMilliseconds (elapsed) });
 
-        m_turn.emit (Exit {});
+        m_entry.endAll (m_turn);
+        m_turn.emit (Exit { m_settings.m_stopGrace - killMargin - elapsed });
         return;
     }
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -58,6 +58,12 @@
     if (! m_dependencies.m_routes.isKnown())
         return refuse (turn, received, Reason::noConfiguration);
 
+    if (m_isClosed)
+    {
+        ++turn.counters().m_requestsAtExit;
+        return refuse (turn, received, Reason::draining);
+    }
+
     if (turn.now() < m_staleUntil)
         return refuse (turn, received, Reason::staleAfterPause);
 
@@ -620,6 +626,19 @@
     finish (turn, id, std::move (result));
 }
 
+void RelayEntry::endAll (Turn& turn)
+{
+    m_isClosed = true;
+
+    while (! m_requests.empty())
+    {
+        auto& [id, request] = *m_requests.begin();
+        request.m_mayHaveRun = request.m_mayHaveRun || ! request.m_instance.empty();
+        cancelAttempt (turn, request);
+        giveUp (turn, id, Reason::draining);
+    }
+}
+
 void RelayEntry::finish (Turn& turn, CallId id, RelayResult result)
 {
     const auto node = m_requests.extract (id);
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -84,6 +84,10 @@
     /** Starts the shutdown: answers close their connections, and new requests are soon refused. */
     void stop (Time now) noexcept { m_stoppedAt = now; }
 
+    /** Ends all requests, since the node exits, and refuses later ones: requests that have not been sent did
+        not run, those that wait for an answer may have. */
+    void endAll (Turn& turn);
+
     bool isIdle() const noexcept { return m_requests.empty(); }
     std::size_t size() const noexcept { return m_requests.size(); }
 
@@ -135,6 +139,7 @@
     CallId m_nextId = 1;
     Time m_staleUntil;
     std::optional<Time> m_stoppedAt;
+    bool m_isClosed = false; /**< all requests are refused */
 };
 
 } // namespace plankledge
--- a/modules/plankledge_runtime/CallerEdge.cpp
+++ b/modules/plankledge_runtime/CallerEdge.cpp
@@ -37,6 +37,12 @@
     return status;
 }
 
+void CallerEdge::shutDown()
+{
+    m_callerServer.shutDown();
+    m_outboundServer.shutDown();
+}
+
 std::function<void()> CallerEdge::onRequest (HttpRequest request, HttpServer::Respond respond,
                                              bool isOutbound)
 {
--- a/modules/plankledge_runtime/CallerEdge.h
+++ b/modules/plankledge_runtime/CallerEdge.h
@@ -20,7 +20,12 @@
     /** @returns the error if an address cannot be bound */
     absl::Status listen (const Endpoint& callers, const Endpoint& outbound);
 
-    void stopListening() { m_callerServer.stopListening(); }
+    /** Closes all connections, of callers and of the target, once the requests that were read are answered.
+     */
+    void shutDown();
+
+    /** @returns whether all connections have ended since shutDown() */
+    bool isShutDown() const noexcept { return m_callerServer.isShutDown() && m_outboundServer.isShutDown(); }
 
     /** Closes each caller connection after its next response. */
     void closeAfterResponses() { m_callerServer.closeAfterResponses(); }
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -17,6 +17,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace plankledge
@@ -34,6 +35,10 @@
 constexpr std::chrono::seconds idleTimeout { 120 };
 constexpr std::chrono::seconds writeTimeout { 30 };
 constexpr std::chrono::seconds discardTimeout { 2 };
+
+/** How long an idle connection that was closed waits for its client to close as well. Clients that keep
+    connections in a pool may notice the end only at their next request. */
+constexpr std::chrono::milliseconds idleDiscardTimeout { 200 };
 constexpr std::size_t maxDiscardedBytes = 8U << 20U;
 
 /** Bounds for connections on which requests may run at the same time. Eight hide the durations of several
@@ -121,10 +126,10 @@
 
 /** Reads and discards what the client still sends: closing with unread bytes would reset the connection,
     and the client might lose the response. */
-asio::awaitable<void> discardUnread (beast::tcp_stream& stream)
+asio::awaitable<void> discardUnread (beast::tcp_stream& stream, std::chrono::milliseconds timeout)
 {
     shutdownSend (stream);
-    stream.expires_after (discardTimeout);
+    stream.expires_after (timeout);
     std::array<char, 16384> bytes {};
 
     for (std::size_t discarded = 0; discarded < maxDiscardedBytes;)
@@ -139,11 +144,20 @@
 }
 
 //==============================================================================
+class Connection;
+
 /** What the connections of a server share. */
 struct Service
 {
+    explicit Service (HttpServer::Hooks hooks)
+        : m_hooks (std::move (hooks))
+    {
+    }
+
     HttpServer::Hooks m_hooks;
     bool m_closesAfterResponses = false;
+    bool m_isShuttingDown = false;
+    std::set<Connection*> m_connections;
 };
 
 /** A request from its reading to the writing of its response. */
@@ -168,13 +182,22 @@
         , m_order (m_service->m_hooks.m_mayRunAhead ? readAheadLimits : ResponseOrder::Limits())
     {
         m_changed.expires_at (asio::steady_timer::time_point::max());
+        m_service->m_connections.insert (this);
     }
 
+    ~Connection() { m_service->m_connections.erase (this); }
+
+    Connection (const Connection&) = delete;
+    Connection& operator= (const Connection&) = delete;
+
     /** Serves the connection until it ends. */
     static asio::awaitable<void> serve (std::shared_ptr<Connection> self)
     {
         while (! self->m_order.isFinished())
         {
+            if (self->m_service->m_isShuttingDown && self->isIdle())
+                co_return co_await discardUnread (self->m_stream, idleDiscardTimeout);
+
             if (self->mayRead())
             {
                 co_await self->readRequest();
@@ -186,11 +209,18 @@
         }
 
         if (self->mayHaveUnreadBytes())
-            co_await discardUnread (self->m_stream);
+            co_await discardUnread (self->m_stream, discardTimeout);
 
         shutdownSend (self->m_stream);
     }
 
+    /** Ends the read of an idle connection, so that its coroutine closes it. */
+    void onShutDown()
+    {
+        if (isIdle())
+            m_stream.cancel();
+    }
+
 private:
     //==============================================================================
     /** While requests are unanswered, a read is begun only when bytes of the next one are there, so that a
@@ -201,9 +231,18 @@
                (m_order.size() == 0 || m_hasBytes || m_buffer.size() > 0);
     }
 
+    /** @returns whether all responses are written and no byte of a next request has arrived */
+    bool isIdle()
+    {
+        boost::system::error_code error;
+        const bool hasPartialRequest = m_parser.has_value() && m_parser->got_some();
+        return m_order.size() == 0 && ! hasPartialRequest && m_buffer.size() == 0 &&
+               m_stream.socket().available (error) == 0;
+    }
+
     asio::awaitable<void> readRequest()
     {
-        http::request_parser<http::string_body> parser;
+        auto& parser = m_parser.emplace();
         parser.header_limit (maxHeaderBytes);
         parser.body_limit (maxBodyBytes);
         m_hasReadAhead = m_hasReadAhead || m_order.size() > 0;
@@ -213,6 +252,13 @@
         m_isReading = false;
         m_hasBytes = false;
 
+        const bool hasBegun = parser.got_some();
+        auto message = parser.release();
+        m_parser.reset();
+
+        if (error == asio::error::operation_aborted && m_service->m_isShuttingDown && ! hasBegun)
+            co_return; // serve() closes the connection unless a request has arrived meanwhile
+
         if (error && ! isProtocolError (error))
             cancel (m_order.disconnect());
         else if (! m_order.isOpen())
@@ -220,7 +266,7 @@
         else if (error)
             respondToError (error);
         else
-            accept (parser.release());
+            accept (std::move (message));
     }
 
     void accept (http::request<http::string_body> message)
@@ -387,6 +433,7 @@
     const std::shared_ptr<Service> m_service;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser; /**< of the request being read */
     asio::steady_timer m_changed; /**< cancelled to wake the coroutine that reads */
     ResponseOrder m_order;
     std::map<ResponseOrder::Id, Exchange> m_exchanges;
@@ -413,7 +460,7 @@
     Implementation (asio::io_context& context, Hooks hooks)
         : m_context (context)
         , m_acceptor (context)
-        , m_service (std::make_shared<Service> (Service { std::move (hooks) }))
+        , m_service (std::make_shared<Service> (std::move (hooks)))
     {
     }
 
@@ -475,4 +522,21 @@
     m_implementation->m_service->m_closesAfterResponses = true;
 }
 
+void HttpServer::shutDown()
+{
+    stopListening();
+    closeAfterResponses();
+    auto& service = *m_implementation->m_service;
+    service.m_isShuttingDown = true;
+
+    for (auto* connection : service.m_connections)
+        connection->onShutDown();
+}
+
+bool HttpServer::isShutDown() const noexcept
+{
+    const auto& service = *m_implementation->m_service;
+    return service.m_isShuttingDown && service.m_connections.empty();
+}
+
 } // namespace plankledge
--- a/modules/plankledge_runtime/HttpServer.h
+++ b/modules/plankledge_runtime/HttpServer.h
@@ -80,6 +80,17 @@
         there are none. */
     void closeAfterResponses();
 
+    /** Closes all connections without losing a request that was read: stops accepting connections, closes
+       idle ones, and closes each other one after its responses. A request whose first bytes have arrived is
+       still read and passed to the handler.
+
+        @see isShutDown
+    */
+    void shutDown();
+
+    /** @returns whether all connections have ended since shutDown() */
+    bool isShutDown() const noexcept;
+
 private:
     //==============================================================================
     struct Implementation;
--- a/modules/plankledge_runtime/KeyedNode.cpp
+++ b/modules/plankledge_runtime/KeyedNode.cpp
@@ -34,7 +34,8 @@
     m_node.addEdge (handlerOf (m_target));
     m_node.addEdge (handlerOf (m_peers));
     m_node.addEdge (handlerOf (m_log));
-    m_node.onExit ([this] { m_callers.stopListening(); });
+    m_node.addShutdownStep ({ [this] { m_callers.shutDown(); }, [this] { return m_callers.isShutDown(); } });
+    m_node.addShutdownStep ({ [this] { m_peers.shutDown(); }, [this] { return m_peers.isShutDown(); } });
 }
 
 absl::Status KeyedNode::start()
--- a/modules/plankledge_runtime/Node.cpp
+++ b/modules/plankledge_runtime/Node.cpp
@@ -16,8 +16,8 @@
    the process. */
 constexpr Duration maxWakeUpInterval = Milliseconds (100);
 
-/** Delay before the event loop stops, so that pending responses can be sent. */
-constexpr Duration shutdownFlushDelay = Milliseconds (200);
+/** Interval of checking whether the shutdown can continue. */
+constexpr Duration shutdownCheckPeriod = Milliseconds (5);
 
 } // namespace
 
@@ -25,12 +25,12 @@
 {
     explicit Timers (boost::asio::io_context& context)
         : m_wakeUp (context)
-        , m_flush (context)
+        , m_shutdown (context)
     {
     }
 
     boost::asio::steady_timer m_wakeUp;
-    boost::asio::steady_timer m_flush;
+    boost::asio::steady_timer m_shutdown;
 };
 
 //==============================================================================
@@ -110,8 +110,8 @@
     if (const auto* decision = std::get_if<LogDecision> (&effect))
         return writeDecision (m_logger, *decision);
 
-    if (std::holds_alternative<Exit> (effect))
-        return exit();
+    if (const auto* end = std::get_if<Exit> (&effect))
+        return beginExit (*end);
 
     for (const auto& edge : m_edges)
         if (edge (effect))
@@ -121,20 +121,52 @@
                     { { "kind", fmt::format ("{}", effect.index()) } });
 }
 
-void Node::exit()
+//==============================================================================
+void Node::beginExit (const Exit& effect)
 {
-    if (m_isExiting)
+    if (m_exitingSince.has_value())
         return;
 
-    m_isExiting = true;
+    m_exitingSince = m_time();
+    m_exitDeadline = *m_exitingSince + effect.m_maxDelay;
+    m_logger.write (Severity::info, "exiting");
+    m_logger.flush();
 
-    for (const auto& callback : m_onExit)
-        callback();
+    if (! m_shutdownSteps.empty())
+        m_shutdownSteps.front().m_begin();
 
-    m_logger.write (Severity::info, "exiting");
+    continueExit();
+}
+
+/** Continues the shutdown as far as possible, and then checks again after a while. Never ends the process
+    synchronously, since effects of the same turn may still have to be executed. */
+void Node::continueExit()
+{
+    m_timers->m_shutdown.expires_after (shutdownCheckPeriod);
+    m_timers->m_shutdown.async_wait ([this] (const boost::system::error_code& error) {
+        if (error)
+            return;
+
+        while (m_shutdownStep < m_shutdownSteps.size() && m_shutdownSteps[m_shutdownStep].m_isComplete())
+            if (++m_shutdownStep < m_shutdownSteps.size())
+                m_shutdownSteps[m_shutdownStep].m_begin();
+
+        if (m_shutdownStep == m_shutdownSteps.size() || m_time() >= m_exitDeadline)
+            return endProcess();
+
+        continueExit();
+    });
+}
+
+void Node::endProcess()
+{
+    const bool isComplete = m_shutdownStep == m_shutdownSteps.size();
+    m_logger.write (isComplete ? Severity::info : Severity::warning, "exited",
+                    { { "complete", isComplete ? "true" : "false" },
+                      { "ms", fmt::format ("{}", toMilliseconds (m_time() - *m_exitingSince)) },
+                      { "requests", fmt::format ("{}", m_reducer->counters().m_requestsAtExit) } });
     m_logger.flush();
-    m_timers->m_flush.expires_after (shutdownFlushDelay);
-    m_timers->m_flush.async_wait ([this] (const boost::system::error_code&) { m_context.stop(); });
+    m_context.stop();
 }
 
 void Node::armTimer()
--- a/modules/plankledge_runtime/Node.h
+++ b/modules/plankledge_runtime/Node.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace boost::asio
@@ -42,6 +43,13 @@
     };
 }
 
+/** A part of the shutdown of the process, which may take some time. */
+struct ShutdownStep
+{
+    std::function<void()> m_begin;
+    std::function<bool()> m_isComplete;
+};
+
 //==============================================================================
 /**
     The driver of one node process: passes events to the reducer and the resulting effects to the
@@ -67,8 +75,9 @@
     /** Adds an edge. Each effect is handled by the first edge that accepts it. */
     void addEdge (EffectHandler handler) { m_edges.push_back (std::move (handler)); }
 
-    /** Adds a callback for the end of the process, called before pending output is flushed. */
-    void onExit (std::function<void()> callback) { m_onExit.push_back (std::move (callback)); }
+    /** Adds a step that is executed before the process ends. Steps are executed in the order in which they
+        were added, each after the previous one is complete. Events are processed meanwhile. */
+    void addShutdownStep (ShutdownStep step) { m_shutdownSteps.push_back (std::move (step)); }
 
     /** Records all events to a trace. To be called before start(). */
     void recordTo (std::unique_ptr<TraceWriter> trace, const NodeSettings& settings);
@@ -95,7 +104,9 @@
     void applyOne (EventBody body);
     void executeAll (const Effects& effects);
     void executeOne (const Effect& effect);
-    void exit();
+    void beginExit (const Exit& effect);
+    void continueExit();
+    void endProcess();
     void armTimer();
 
     boost::asio::io_context& m_context;
@@ -103,14 +114,16 @@
     Logger& m_logger;
     const TimeSource m_time;
     std::vector<EffectHandler> m_edges;
-    std::vector<std::function<void()>> m_onExit;
+    std::vector<ShutdownStep> m_shutdownSteps;
+    std::size_t m_shutdownStep = 0; /**< index of the one in progress */
     std::unique_ptr<TraceWriter> m_trace;
     NodeSettings m_traceSettings;
     std::unique_ptr<Timers> m_timers;
     std::deque<EventBody> m_pending;
     Ticket m_nextTicket = 1;
     bool m_isProcessing = false;
-    bool m_isExiting = false;
+    std::optional<Time> m_exitingSince;
+    Time m_exitDeadline;
     Time m_nextWakeUp;
 };
 
--- a/modules/plankledge_runtime/PeerEdge.h
+++ b/modules/plankledge_runtime/PeerEdge.h
@@ -24,6 +24,12 @@
     void execute (const ReplyOnLink& effect);
     void execute (const SendGossip& effect);
 
+    /** Closes all connections to peers after what is queued for them. */
+    void shutDown() { m_links.shutDown(); }
+
+    /** @returns whether all connections have ended since shutDown() */
+    bool isShutDown() const noexcept { return m_links.isShutDown(); }
+
     /** @returns bytes of control traffic since the start, for frames and datagrams */
     ControlTraffic traffic() const noexcept { return { m_links.controlBytes(), m_gossip.bytes(), 0 }; }
 
--- a/modules/plankledge_runtime/PeerLinks.cpp
+++ b/modules/plankledge_runtime/PeerLinks.cpp
@@ -29,6 +29,9 @@
 constexpr auto asTuple = asio::as_tuple (asio::use_awaitable);
 constexpr std::chrono::milliseconds connectTimeout { 500 };
 constexpr std::chrono::seconds idleTimeout { 120 };
+
+/** How long a connection waits for its peer to close it too, at the end of this process. */
+constexpr std::chrono::milliseconds lingerTimeout { 500 };
 constexpr std::size_t maxQueuedBytes = 16U << 20U; // if exceeded, the connection is closed
 
 /** TCP_USER_TIMEOUT: detects a peer that is partitioned or has lost power. Longer than pauses of a busy
@@ -129,7 +132,7 @@
         co_await readFrames (id, link, std::nullopt);
         close (*link);
 
-        if (m_accepted.erase (id) > 0)
+        if (m_accepted.erase (id) > 0 && ! m_isShuttingDown)
             m_hooks.m_onLinkClosed (id);
     }
 
@@ -143,17 +146,21 @@
             auto unsent = std::move (link->m_unsent);
             close (*link);
             removeOpened (instance, link);
-            co_return m_hooks.m_onUnreachable (instance, std::move (unsent));
+
+            if (! m_isShuttingDown)
+                m_hooks.m_onUnreachable (instance, std::move (unsent));
+
+            co_return;
         }
 
         link->m_isConnected = true;
         link->m_unsent.clear();
-        restartIdleTimer (link);
+        restartTimer (link, idleTimeout);
         flush (link);
         co_await readFrames (0, link, instance);
         close (*link);
 
-        if (removeOpened (instance, link))
+        if (removeOpened (instance, link) && ! m_isShuttingDown)
             m_hooks.m_onLost (instance);
     }
 
@@ -194,9 +201,10 @@
         return true;
     }
 
-    static void restartIdleTimer (const LinkPointer& link)
+    /** Closes the link after a time. */
+    static void restartTimer (const LinkPointer& link, std::chrono::milliseconds timeout)
     {
-        link->m_timer.expires_after (idleTimeout);
+        link->m_timer.expires_after (timeout);
         link->m_timer.async_wait ([weak = std::weak_ptr (link)] (const boost::system::error_code& error) {
             const auto self = weak.lock();
 
@@ -266,6 +274,9 @@
 
             consumed += frameHeaderBytes + *length;
 
+            if (m_isShuttingDown)
+                continue; // can't be answered any more
+
             if (isControl (frame->m_message))
                 m_controlBytes += frameHeaderBytes + *length;
 
@@ -278,7 +289,7 @@
     //==============================================================================
     void write (const LinkPointer& link, const InstanceName& to, const PeerMessage& message)
     {
-        if (link->m_isClosed)
+        if (link->m_isClosed || m_isShuttingDown)
             return;
 
         const auto bytes = encodeFrame ({ protocolVersion, m_self, to, message });
@@ -300,7 +311,12 @@
     void flush (const LinkPointer& link)
     {
         if (! link->m_writing.empty() || link->m_queued.empty() || link->m_isClosed)
+        {
+            if (m_isShuttingDown)
+                closeSendingIfFlushed (*link);
+
             return;
+        }
 
         std::swap (link->m_writing, link->m_queued);
         asio::async_write (
@@ -316,6 +332,38 @@
             });
     }
 
+    /** Closes the sending direction if nothing is left to be sent. */
+    static void closeSendingIfFlushed (Link& link)
+    {
+        if (! link.m_writing.empty() || ! link.m_queued.empty() || link.m_isClosed)
+            return;
+
+        boost::system::error_code ignored;
+        link.m_socket.shutdown (tcp::socket::shutdown_send, ignored);
+    }
+
+    void shutDown()
+    {
+        m_isShuttingDown = true;
+        boost::system::error_code ignored;
+        m_acceptor.close (ignored);
+
+        for (const auto& [instance, link] : m_opened)
+            shutDown (link);
+
+        for (const auto& [id, link] : m_accepted)
+            shutDown (link);
+    }
+
+    static void shutDown (const LinkPointer& link)
+    {
+        if (! link->m_isConnected)
+            return close (*link);
+
+        closeSendingIfFlushed (*link);
+        restartTimer (link, lingerTimeout);
+    }
+
     static void close (Link& link)
     {
         link.m_isClosed = true;
@@ -333,6 +381,7 @@
     std::map<LinkId, LinkPointer> m_accepted;
     LinkId m_nextLink = 1;
     std::uint64_t m_controlBytes = 0;
+    bool m_isShuttingDown = false;
 };
 
 //==============================================================================
@@ -358,6 +407,9 @@
 
 void PeerLinks::send (const InstanceName& instance, const Endpoint& endpoint, const PeerMessage& message)
 {
+    if (m_implementation->m_isShuttingDown)
+        return;
+
     auto& link = m_implementation->m_opened[instance];
 
     if (link != nullptr && ! link->m_isClosed && link->m_endpoint != endpoint)
@@ -381,7 +433,7 @@
     }
     else
     {
-        Implementation::restartIdleTimer (link);
+        Implementation::restartTimer (link, idleTimeout);
     }
 
     m_implementation->write (link, instance, message);
@@ -395,6 +447,16 @@
         m_implementation->write (found->second, instance, message);
 }
 
+void PeerLinks::shutDown()
+{
+    m_implementation->shutDown();
+}
+
+bool PeerLinks::isShutDown() const noexcept
+{
+    return m_implementation->m_isShuttingDown && size() == 0;
+}
+
 std::uint64_t PeerLinks::controlBytes() const noexcept
 {
     return m_implementation->m_controlBytes;
--- a/modules/plankledge_runtime/PeerLinks.h
+++ b/modules/plankledge_runtime/PeerLinks.h
@@ -57,6 +57,17 @@
     /** Replies over a connection that the peer opened. Does nothing if it has been closed. */
     void reply (LinkId link, const InstanceName& instance, const PeerMessage& message);
 
+    /** Closes all connections after what is queued for them: no frame is sent or accepted any more. Each
+        connection stays open until its peer has closed it too, since closing with unread bytes would reset
+        it, and the peer might lose the last frames.
+
+        @see isShutDown
+    */
+    void shutDown();
+
+    /** @returns whether all connections have ended since shutDown() */
+    bool isShutDown() const noexcept;
+
     /** @returns bytes of frames sent and received since the start, except calls, answers and cancellations */
     std::uint64_t controlBytes() const noexcept;
 
--- a/modules/plankledge_runtime/RelayCallerEdge.h
+++ b/modules/plankledge_runtime/RelayCallerEdge.h
@@ -30,7 +30,11 @@
     /** @returns the error if the address cannot be bound */
     absl::Status listen (const Endpoint& endpoint) { return m_server.listen (endpoint); }
 
-    void stopListening() { m_server.stopListening(); }
+    /** Closes all connections once the requests that were read are answered. */
+    void shutDown() { m_server.shutDown(); }
+
+    /** @returns whether all connections have ended since shutDown() */
+    bool isShutDown() const noexcept { return m_server.isShutDown(); }
 
     void execute (const AnswerRelay& effect);
 
--- a/tests/contracts/HttpServer_test.cpp
+++ b/tests/contracts/HttpServer_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -17,6 +18,7 @@
 #include <chrono>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -206,6 +208,30 @@
         asio::post (m_context, [this] { m_server.closeAfterResponses(); });
     }
 
+    /** Shuts the server down, and waits until that has begun. */
+    void shutDown()
+    {
+        std::promise<void> begun;
+        asio::post (m_context, [this, &begun] {
+            m_server.shutDown();
+            begun.set_value();
+        });
+        begun.get_future().wait();
+    }
+
+    bool isShutDown()
+    {
+        std::promise<bool> result;
+        asio::post (m_context, [this, &result] { result.set_value (m_server.isShutDown()); });
+        return result.get_future().get();
+    }
+
+    /** Waits until all connections have ended. */
+    bool waitForShutDown()
+    {
+        return waitFor ([this] { return isShutDown(); });
+    }
+
     /** @returns the targets of requests passed to the handler */
     Targets started() { return read (m_started); }
 
@@ -311,6 +337,7 @@
     }
 
     asio::io_context m_context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> m_work { m_context.get_executor() };
     HttpServer m_server;
     Endpoint m_endpoint;
     std::mutex m_mutex;
@@ -634,6 +661,85 @@
     CHECK (server.cancelled().empty());
 }
 
+// Guards against requests that are read when the process is about to end, and lost with it.
+TEST_CASE ("a server that shuts down answers what was read, and ends when nothing is left")
+{
+    PipelineServer server;
+    auto client = std::make_unique<Client> (server.endpoint());
+    client->write (get ("/0/first"));
+    REQUIRE (readResponses (*client, 1).m_bodies == Targets { "/0/first" });
+
+    SUBCASE ("an idle connection is closed at once, and what comes after is not read")
+    {
+        server.shutDown();
+        std::this_thread::sleep_for (milliseconds (20));
+        client->write (get ("/0/late"));
+        const auto received = readResponses (*client, untilEnd);
+        CHECK (received.m_bodies.empty());
+        CHECK (received.m_time < milliseconds (150));
+        CHECK (server.started() == Targets { "/0/first" });
+    }
+
+    SUBCASE ("an idle connection whose client does not close it")
+    {
+        server.shutDown();
+    }
+
+    SUBCASE ("a request that is running")
+    {
+        client->write (get ("/150/a"));
+        REQUIRE (server.waitForStarted (2));
+        server.shutDown();
+        CHECK_FALSE (server.isShutDown());
+        const auto received = readResponses (*client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/150/a" });
+        CHECK (received.m_keepAlive == std::vector<bool> { false });
+        CHECK (received.m_end == endOfStream);
+    }
+
+    SUBCASE ("a request of which a part has arrived")
+    {
+        const auto request = post ("/50/a");
+        client->write (request.substr (0, 10));
+        std::this_thread::sleep_for (milliseconds (20));
+        server.shutDown();
+        std::this_thread::sleep_for (milliseconds (20));
+        client->write (request.substr (10));
+        const auto received = readResponses (*client, untilEnd);
+        CHECK (received.m_bodies == Targets { "/50/a" });
+        CHECK (received.m_keepAlive == std::vector<bool> { false });
+    }
+
+    SUBCASE ("a request of whose body a part has arrived")
+    {
+        client->write ("POST /50/a HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n1234");
+        std::this_thread::sleep_for (milliseconds (20));
+        server.shutDown();
+        std::this_thread::sleep_for (milliseconds (20));
+        client->write ("5678");
+        CHECK (readResponses (*client, untilEnd).m_bodies == Targets { "/50/a" });
+    }
+
+    SUBCASE ("a response that its client reads slowly")
+    {
+        client->write (get ("/0/large") + get ("/0/large") + get ("/0/large") + get ("/0/large"));
+        REQUIRE (server.waitForStarted (5));
+        server.shutDown();
+        std::this_thread::sleep_for (milliseconds (400));
+        CHECK_FALSE (server.isShutDown());
+        const auto received = readResponses (*client, untilEnd);
+        CHECK (received.m_bodies == Targets (4, std::to_string (maxBodyBytes)));
+        CHECK (received.m_end == endOfStream);
+    }
+
+    CHECK (server.waitForShutDown());
+    boost::system::error_code error;
+    tcp::socket refused (client->m_context);
+    refused.connect ({ asio::ip::make_address (server.endpoint().m_ip), server.endpoint().m_port }, error);
+    CHECK (error == asio::error::connection_refused);
+    CHECK (server.cancelled().empty());
+}
+
 TEST_CASE ("a request that can't be parsed is answered in its turn and closes the connection")
 {
     PipelineServer server;
--- a/tests/relay/gate/DrainingAndShutdown_test.cpp
+++ b/tests/relay/gate/DrainingAndShutdown_test.cpp
@@ -27,6 +27,15 @@
 const LeaveRow leaveRows[] = { { "announced as draining", AnnouncedState::draining },
                                { "announced as gone without draining first", AnnouncedState::gone } };
 
+/** @returns whether the node decides to exit within 6 s */
+bool waitForExit (RelaySite& site, const InstanceName& instance)
+{
+    for (int step = 0; step < 6000 && ! site.hasExited (instance); ++step)
+        site.run (Milliseconds (1));
+
+    return site.hasExited (instance);
+}
+
 } // namespace
 
 TEST_CASE ("a leaving target gets no new work, even after a late announcement that it serves")
@@ -140,4 +149,58 @@
     CHECK (site.hasExited ("entry"));
 }
 
+// Guards against requests that are lost with the process, since they came in on open connections after the
+// node had decided to exit.
+TEST_CASE ("an entry that has decided to exit refuses every request and sends none on")
+{
+    RelaySite site;
+    site.keepExitedProcesses();
+    site.applyEvent ("entry", StopRequested {});
+
+    REQUIRE (waitForExit (site, "entry"));
+    std::vector<Ticket> tickets;
+
+    for (int index = 0; index < 200; ++index)
+    {
+        tickets.push_back (
+            site.send ("entry", "late" + std::to_string (index), index % 2 == 0 ? "/read/x" : "/write/x"));
+        site.run (Milliseconds (1));
+    }
+
+    site.run (seconds (1));
+    CHECK (site.runs().empty());
+
+    for (const auto ticket : tickets)
+    {
+        REQUIRE (site.answers().contains (ticket));
+        CHECK (site.outcomeOf (ticket) == Outcome::notRun);
+        CHECK (site.reasonOf (ticket) == Reason::draining);
+        CHECK (site.answers().at (ticket).m_result.m_retryAfter > Duration::zero());
+    }
+
+    CHECK (site.reducer ("entry").counters().m_requestsAtExit == tickets.size());
+}
+
+// Guards against callers that get no answer, since the node exits while their requests are in progress.
+TEST_CASE ("an entry that exits at the end of its grace period answers the requests in progress")
+{
+    RelaySite site;
+    site.setTargets (never);
+    site.applyEvent ("entry", StopRequested {});
+    site.run (seconds (2));
+    const auto sent = site.send ("entry", "sent", "/write/x", seconds (10));
+    site.run (Milliseconds (100));
+    REQUIRE (site.runsOf ("sent").size() == 1);
+    site.announce ("one", AnnouncedState::draining);
+    site.announce ("two", AnnouncedState::draining);
+    site.run (Milliseconds (100));
+    const auto queued = site.send ("entry", "queued", "/write/x", seconds (10));
+    CHECK (waitForExit (site, "entry"));
+    REQUIRE (site.answers().contains (sent));
+    CHECK (site.outcomeOf (sent) == Outcome::unknown);
+    REQUIRE (site.answers().contains (queued));
+    CHECK (site.outcomeOf (queued) == Outcome::notRun);
+    CHECK (site.runsOf ("queued").empty());
+}
+
 } // namespace plankledge::test
--- a/tests/support/RelayRig.cpp
+++ b/tests/support/RelayRig.cpp
@@ -327,7 +327,9 @@
 void RelayRig::execute (const InstanceName& from, const Exit&)
 {
     m_hosts.at (from).m_hasExited = true;
-    kill (from);
+
+    if (! m_keepsExitedProcesses)
+        kill (from);
 }
 
 } // namespace plankledge::test
--- a/tests/support/RelayRig.h
+++ b/tests/support/RelayRig.h
@@ -118,6 +118,9 @@
     Ticket send (const InstanceName& instance, const std::string& id, const std::string& path,
                  Duration timeout = std::chrono::seconds (5), const Credential& credential = {});
 
+    /** Lets processes go on after their reducers have decided to exit, until they are killed. */
+    void keepExitedProcesses() noexcept { m_keepsExitedProcesses = true; }
+
     /** Disconnects the caller of a request. */
     void close (const InstanceName& instance, Ticket ticket);
 
@@ -217,6 +220,7 @@
     std::uint64_t m_hellos = 0;
     std::uint64_t m_crashUpdates = 0;
     StoreHook m_storeHook;
+    bool m_keepsExitedProcesses = false;
     RelaySettings m_settings;
 };
 
--- a/tests/support/Rig.cpp
+++ b/tests/support/Rig.cpp
@@ -364,7 +364,12 @@
 
 void Rig::execute (Host& host, const Exit&)
 {
-    end (host.m_settings.m_self.m_id.m_instance);
+    const auto instance = host.m_settings.m_self.m_id.m_instance;
+
+    if (m_exitDelay == Duration::zero())
+        return end (instance);
+
+    schedule (m_exitDelay, [this, instance] { end (instance); });
 }
 
 //==============================================================================
--- a/tests/support/Rig.h
+++ b/tests/support/Rig.h
@@ -105,6 +105,9 @@
     /** Called for each effect before it is carried out. */
     std::function<void (const InstanceName&, const Effect&)> m_onEffect;
 
+    /** Time for which a process goes on after its reducer has decided to exit. */
+    Duration m_exitDelay {};
+
     Duration m_listAppearLag = Milliseconds (500);
     Duration m_listDropLag = std::chrono::seconds (3);
     bool m_isLogDown = false;
