A stopping node refuses requests until its callers are quiet, instead of refusing connections

Cause: the exit was decided on an idle node even while its callers were still sending. Change: the exit waits until no request has come for 200 ms, for 3.5 s after the stop request at most.

--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -36,6 +36,14 @@
    callers after two failed probes. */
 constexpr Duration minStopDuration = Milliseconds (2400);
 
+/** A stopping node exits once its callers have sent no request for this long. While they still send, a
+   refusal with the time of return serves them better than a refused connection. */
+constexpr Duration quietPeriod = Milliseconds (200);
+
+/** A stopping node does not wait longer for its callers to be quiet: they may not have been redirected, since
+    too few other instances are ready. */
+constexpr Duration maxQuietWait = Milliseconds (3500);
+
 /** A stopping node exits this long before it would be killed, even if it isn't idle. */
 constexpr Duration stopMargin = Milliseconds (500);
 
@@ -495,7 +503,9 @@
 
     const bool isDone = m_gate.isIdle() && m_entry.isIdle();
 
-    if ((isDone && elapsed >= minStopDuration) || elapsed >= m_settings.m_stopGrace - stopMargin)
+    const bool isQuiet = m_turn.now() - m_entry.lastReceivedAt() >= quietPeriod || elapsed >= maxQuietWait;
+
+    if ((isDone && isQuiet && elapsed >= minStopDuration) || elapsed >= m_settings.m_stopGrace - stopMargin)
     {
         if (m_gate.target().isLeaving())
             m_turn.emit (WithdrawMember { m_peers.self() });
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -55,6 +55,8 @@
 //==============================================================================
 void RelayEntry::receive (Turn& turn, const RelayRequestReceived& received)
 {
+    m_lastReceivedAt = turn.now();
+
     if (! m_dependencies.m_routes.isKnown())
         return refuse (turn, received, Reason::noConfiguration);
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -88,6 +88,9 @@
         not run, those that wait for an answer may have. */
     void endAll (Turn& turn);
 
+    /** @returns when the last request was received, accepted or not */
+    Time lastReceivedAt() const noexcept { return m_lastReceivedAt; }
+
     bool isIdle() const noexcept { return m_requests.empty(); }
     std::size_t size() const noexcept { return m_requests.size(); }
 
@@ -137,6 +140,7 @@
     std::set<CallId> m_queuedRequests;
     WeightedServiceSelector m_serviceSelector;
     CallId m_nextId = 1;
+    Time m_lastReceivedAt;
     Time m_staleUntil;
     std::optional<Time> m_stoppedAt;
     bool m_isClosed = false; /**< all requests are refused */
--- a/tests/relay/gate/DrainingAndShutdown_test.cpp
+++ b/tests/relay/gate/DrainingAndShutdown_test.cpp
@@ -181,6 +181,45 @@
     CHECK (site.reducer ("entry").counters().m_requestsAtExit == tickets.size());
 }
 
+// Guards against refused connections while callers still send, since they have not been redirected yet.
+TEST_CASE ("a stopping entry refuses requests until its callers are quiet, for a bounded time")
+{
+    RelaySite site;
+    site.applyEvent ("entry", StopRequested {});
+    site.run (Milliseconds (2350));
+    std::vector<Ticket> tickets;
+
+    SUBCASE ("callers that become quiet")
+    {
+        for (int index = 0; index < 15; ++index)
+        {
+            tickets.push_back (site.send ("entry", "a" + std::to_string (index), "/read/x"));
+            site.run (Milliseconds (40));
+            CHECK_FALSE (site.hasExited ("entry"));
+        }
+
+        site.run (Milliseconds (400));
+    }
+
+    SUBCASE ("callers that go on")
+    {
+        for (int index = 0; index < 35 && ! site.hasExited ("entry"); ++index)
+        {
+            tickets.push_back (site.send ("entry", "b" + std::to_string (index), "/read/x"));
+            site.run (Milliseconds (40));
+        }
+
+        REQUIRE (tickets.size() > 25);
+    }
+
+    CHECK (site.hasExited ("entry"));
+
+    for (const auto ticket : tickets)
+        CHECK (site.answers().contains (ticket));
+
+    CHECK (site.reasonOf (tickets.back()) == Reason::draining);
+}
+
 // Guards against callers that get no answer, since the node exits while their requests are in progress.
 TEST_CASE ("an entry that exits at the end of its grace period answers the requests in progress")
 {
