A request for a service without a known instance is held until the list has been read again

Cause: the node's first read of the platform's list came before the targets were in it; the next periodic read is 1 to 2 s later, and until then OutgoingCalls refused each request for a service of which no instance was known. Other hypotheses need a known instance. Change: InstanceLookup holds such a request, has the list read at once, every 250 ms at most, and sends or refuses it when the list has come, or after 1 s. The test program says which program is missing instead of waiting for it. Why it works: what was unknown was in the list all the time; a service without instances is still refused as soon as the list says so.

--- a/modules/plankledge_policy/KeyedRequests.cpp
+++ b/modules/plankledge_policy/KeyedRequests.cpp
@@ -99,6 +99,8 @@
         return m_timers.set (m_turn.now() + ShedThreshold::window, TimerKind::shedWindow);
     case TimerKind::drain:
         return m_drain.onTimer (m_turn);
+    case TimerKind::instanceLookup:
+        return m_outgoing.onLookupTimer (m_turn, timer.m_subject);
     case TimerKind::checkpoint:
         return m_configuration.onCheckpointTimer (m_turn);
     case TimerKind::housekeeping:
@@ -232,6 +234,7 @@
     }
 
     m_join.onListRead (m_turn);
+    m_outgoing.onListReceived (m_turn);
     updateOwnState();
 }
 
--- a/modules/plankledge_policy/TimerQueue.h
+++ b/modules/plankledge_policy/TimerQueue.h
@@ -24,6 +24,7 @@
     drain,
     housekeeping,
     checkpoint,
+    instanceLookup,    /**< a request has waited too long for an instance, or the list may be read again */
     relayDeadline,     /**< deadline of a request at its entry node */
     relayQueueTimeout, /**< end of a request's wait for a target at its entry node */
     gateDeadline,      /**< deadline of a request in the gate */
--- a/modules/plankledge_policy/calls/OutgoingCalls.cpp
+++ b/modules/plankledge_policy/calls/OutgoingCalls.cpp
@@ -31,6 +31,8 @@
     , m_thresholds (thresholds)
     , m_inbound (inbound)
     , m_hooks (std::move (hooks))
+    , m_lookup ({ [this] (CallId request) { return isInstanceKnown (request); },
+                  [this] (Turn& turn, CallId request) { sendOrRefuse (turn, request); } })
 {
 }
 
@@ -153,6 +155,19 @@
 
 //==============================================================================
 void OutgoingCalls::send (Turn& turn, CallId id)
+{
+    if (! isInstanceKnown (id))
+        return m_lookup.add (turn, id);
+
+    sendOrRefuse (turn, id);
+}
+
+bool OutgoingCalls::isInstanceKnown (CallId id) const
+{
+    return ! m_membership.acceptingRequests (m_requests.at (id).m_content.m_service).empty();
+}
+
+void OutgoingCalls::sendOrRefuse (Turn& turn, CallId id)
 {
     const auto member = chooseMember (turn, m_requests.at (id));
 
@@ -475,6 +490,7 @@
         result.m_retryAfter = computeRetryAfter (turn, result.m_reason, request.m_idempotency.m_attempt);
 
     m_byTicket.erase (request.m_ticket);
+    m_lookup.remove (id);
     turn.timers().cancel (request.m_deadline, TimerKind::outgoingDeadline, id);
     ++turn.counters().m_outcomes[static_cast<std::size_t> (result.m_outcome)];
 
--- a/modules/plankledge_policy/calls/OutgoingCalls.h
+++ b/modules/plankledge_policy/calls/OutgoingCalls.h
@@ -3,6 +3,7 @@
 #include "plankledge_policy/Turn.h"
 #include "plankledge_policy/admission/ThresholdCache.h"
 #include "plankledge_policy/calls/InboundCalls.h"
+#include "plankledge_policy/calls/InstanceLookup.h"
 #include "plankledge_policy/membership/Membership.h"
 #include "plankledge_policy/retries/RetryDecision.h"
 #include "plankledge_policy/routing/Router.h"
@@ -57,6 +58,10 @@
 
     void onDeadline (Turn& turn, CallId request);
 
+    /** The platform's list was received, and the membership is up to date. */
+    void onListReceived (Turn& turn) { m_lookup.onListReceived (turn); }
+    void onLookupTimer (Turn& turn, CallId subject) { m_lookup.onTimer (turn, subject); }
+
     /** Cancels the nested requests of an inbound call that has ended. */
     void cancelChildrenOf (Turn& turn, CallId parent);
 
@@ -97,6 +102,8 @@
     Reason refusalByThreshold (Turn& turn, const Request& request) const;
 
     void send (Turn& turn, CallId id);
+    void sendOrRefuse (Turn& turn, CallId id);
+    bool isInstanceKnown (CallId id) const;
     std::optional<Member> chooseMember (Turn& turn, const Request& request);
     std::optional<Member> chooseInstance (Turn& turn, const Request& request);
     std::optional<Member> chooseCandidate (Turn& turn, const Request& request) const;
@@ -121,6 +128,7 @@
     std::map<Ticket, CallId> m_byTicket;
     std::map<CallId, CallId> m_byCall; /**< from call id to request id */
     RetryDecision m_retryDecision;
+    InstanceLookup m_lookup;
     CallId m_next = 1;
 };
 
--- a/standins/standin-target.cpp
+++ b/standins/standin-target.cpp
@@ -53,6 +53,7 @@
     std::string m_operation;
     std::deque<std::string> m_calls;
     json::array m_results;
+    json::value m_failedCall; /**< what a call was answered that failed */
     CallId m_call = 0;
     std::size_t m_callNumber = 0;
     bool m_isRunning = false;
@@ -289,6 +290,15 @@
             boost::system::error_code error;
             job->m_results.push_back (json::parse (response->m_body, error));
         }
+        else if (response != nullptr)
+        {
+            job->m_failedCall = { { "status", response->m_status },
+                                  { "reason", findHeader (response->m_headers, "Plankledge-Reason") } };
+        }
+        else
+        {
+            job->m_failedCall = { { "status", 0 }, { "reason", "no response" } };
+        }
 
         callNext (job);
     }
@@ -296,11 +306,9 @@
     void finish (const JobPointer& job)
     {
         end (job);
-        const json::object body { { "instance", FLAGS_instance },
-                                  { "service", FLAGS_service },
-                                  { "operation", job->m_operation },
-                                  { "body", job->m_request.m_body },
-                                  { "calls", job->m_results } };
+        const json::object body { { "instance", FLAGS_instance },    { "service", FLAGS_service },
+                                  { "operation", job->m_operation }, { "body", job->m_request.m_body },
+                                  { "calls", job->m_results },       { "failed_call", job->m_failedCall } };
         const bool isFailure = job->m_hasFailed || m_isFailing;
         job->m_respond (makeResponse (isFailure ? 502 : 200, json::serialize (body)));
         startNext();
--- a/tests/promises/WholeAnswers_test.cpp
+++ b/tests/promises/WholeAnswers_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <mutex>
 #include <optional>
 
 namespace plankledge::test
@@ -187,9 +188,22 @@
 
     cluster.waitUntilReady();
     std::vector<std::future<int>> callers;
+    std::mutex mutex;
+    std::map<std::string, int> failedCalls; // by the answer to the call
+
+    // Tells a nested call that failed from an answer that belongs to another request.
+    const auto countFailedCall = [&] (const std::string& body) {
+        constexpr std::string_view field = "\"failed_call\":";
+        const auto at = body.find (field);
+        const auto failure = at == std::string::npos ? "null" : body.substr (at + field.size());
+        const std::lock_guard lock (mutex);
+
+        if (! failure.starts_with ("null"))
+            ++failedCalls[failure.substr (0, failure.find ('}') + 1)];
+    };
 
     for (int caller = 0; caller < 16; ++caller)
-        callers.push_back (std::async (std::launch::async, [&cluster, caller] {
+        callers.push_back (std::async (std::launch::async, [&cluster, &countFailedCall, caller] {
             int mismatches = 0;
 
             for (int number = 0; number < 25; ++number)
@@ -207,6 +221,7 @@
                 if (outcomeOf (answer) != "completed")
                     continue;
 
+                countFailedCall (answer->m_body);
                 const auto own = fmt::format ("\"body\":\"{}\"", name);
                 const auto first = answer->m_body.find (own);
                 const bool isOwn =
@@ -219,6 +234,9 @@
 
     for (auto& caller : callers)
         CHECK (caller.get() == 0);
+
+    for (const auto& [failure, count] : failedCalls)
+        CHECK_MESSAGE (count == 0, count, " nested calls were answered ", failure);
 }
 
 TEST_CASE ("answers between nodes that are late, reordered or for abandoned calls reach no other caller")
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -30,10 +30,16 @@
 constexpr std::chrono::milliseconds pollInterval { 20 };
 constexpr std::chrono::seconds waitTimeout { 60 };
 
+/** @throws std::runtime_error   if there is no such program */
 std::string programPath (const std::string& program)
 {
     const char* folder = std::getenv ("PLANKLEDGE_PROGRAMS");
-    return fmt::format ("{}/{}", folder != nullptr ? folder : "build", program);
+    auto path = fmt::format ("{}/{}", folder != nullptr ? folder : "build", program);
+
+    if (! std::filesystem::exists (path))
+        throw std::runtime_error (path + " not found; PLANKLEDGE_PROGRAMS names the folder of the programs");
+
+    return path;
 }
 
 std::atomic<int> clusterCount { 0 };
