A restarted node's gate is held until its peers have said what they remember of its target

Cause: peers return what a target stated with the requests they send. Requests that begin at the restarted node itself go to its own gate, which opened with the target's announcement and knew of nothing. Change: PeerStatus, as the answer to a hello, carries the restriction of the asker's target; the gate opens when each peer that was sent a hello has answered, or 1 s after the start. Not held at the first start of all nodes. Frames are of version 5. Why it works: all that any peer in contact remembers has arrived before the gate dispatches the first request.

--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -338,11 +338,14 @@
     StoreView m_store;
     std::uint64_t m_crashes = 0; /**< digest of the stored crash reports; 0: none */
 
+    /** Of the receiver's target, as the sender remembers it; only in an answer to a hello. */
+    std::optional<TargetRestriction> m_restriction {};
+
     auto operator<=> (const PeerStatus&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_version, m_gate, m_times, m_calls, m_store, m_crashes);
+        archive (m_version, m_gate, m_times, m_calls, m_store, m_crashes, m_restriction);
     }
 };
 
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -25,6 +25,10 @@
     as many, so that all nodes know it within a few rounds; the store tells most of them anyway. */
 constexpr std::size_t versionFanout = 4;
 
+/** Bound on the time for which the gate of a started node is held until its peers have answered. Longer than
+   it takes to read the members from the store and to contact them. */
+constexpr Duration maxGateHold = std::chrono::seconds (1);
+
 /** Interval of checking whether a stopping node is idle. */
 constexpr Duration stopCheckPeriod = Milliseconds (100);
 
@@ -85,6 +89,11 @@
     m_turn.timers().set (now + AdmissionLevel::period, TimerKind::admissionPeriod);
     m_turn.timers().set (now + m_turn.jittered (helloCheckPeriod / 2), TimerKind::peerHello);
     m_windowStartedAt = now;
+    m_startedAt = now;
+
+    // No peer can remember anything of the targets.
+    if (m_settings.m_isFirstStart)
+        releaseGate();
 }
 
 void RelayDecisions::onPause()
@@ -144,6 +153,9 @@
         m_turn.emit (WriteLog { Notice::scheduledLate, {}, toMilliseconds (delay) });
     }
 
+    if (m_isGateHeld && now - m_startedAt >= maxGateHold)
+        releaseGate();
+
     m_gate.onWindowEnd (m_turn);
     m_peers.onGate (m_peers.self(), m_gate.status (m_turn.now()), now);
     m_peers.onRouteTimes (m_peers.self(), m_gate.routeTimes (now));
@@ -180,6 +192,10 @@
 {
     const auto& member = peer.m_member;
     m_peers.onHelloSent (member.m_id.m_instance, m_turn.now());
+
+    if (m_isGateHeld)
+        m_unansweredHellos.insert (member.m_id.m_instance);
+
     m_turn.emit (SendToPeer { member.m_id.m_instance, member.m_endpoint,
                               PeerHello { m_turn.settings().m_self, m_routes.version(),
                                           m_gate.status (m_turn.now()), m_turn.now().time_since_epoch(),
@@ -380,6 +396,8 @@
 
     auto answer = status();
 
+    answer.m_restriction = m_peers.restrictions().find (from.m_instance);
+
     if (message.m_asksForCalls)
         answer.m_calls = m_gate.callEdges();
 
@@ -403,6 +421,17 @@
         m_calls.setPeerEdges (from.m_instance, *message.m_calls);
     }
 
+    if (m_isGateHeld)
+    {
+        if (message.m_restriction.has_value())
+            m_peers.onOwnRestrictionReported (*message.m_restriction);
+
+        m_unansweredHellos.erase (from.m_instance);
+
+        if (m_unansweredHellos.empty())
+            releaseGate();
+    }
+
     m_peers.onRouteTimes (from.m_instance, message.m_times);
     onGate (from.m_instance, message.m_gate);
     onVersionReported (from.m_instance, message.m_version);
@@ -483,6 +512,13 @@
 }
 
 //==============================================================================
+void RelayDecisions::releaseGate()
+{
+    m_isGateHeld = false;
+    m_unansweredHellos.clear();
+    m_gate.release (m_turn);
+}
+
 void RelayDecisions::handle (const StopRequested&)
 {
     if (m_stoppedAt.has_value())
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -5,6 +5,8 @@
 #include "plankledge_policy/relay/peers/PeerContacts.h"
 #include "plankledge_policy/relay/store/StoreSync.h"
 
+#include <set>
+
 namespace plankledge
 {
 
@@ -91,6 +93,7 @@
     //==============================================================================
     void onHelloTimer();
     void onWindowEnd();
+    void releaseGate();
     void onStopTimer();
     void trackService (const ServiceName& service);
     void sendHello (const Peer& peer, bool asksForCalls);
@@ -121,6 +124,9 @@
     RelayEntry m_entry;
     Time m_windowStartedAt;
     std::optional<Time> m_stoppedAt;
+    Time m_startedAt;
+    std::set<InstanceName> m_unansweredHellos; /**< sent while the gate is held */
+    bool m_isGateHeld = true;
     std::optional<ConfigurationVersion> m_versionInStore; /**< newest one read; nullopt: none or invalid */
 };
 
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -608,6 +608,12 @@
     return share < 1.0 ? std::min (slots, scaled (requested, share)) : slots;
 }
 
+void TargetGate::release (Turn& turn)
+{
+    m_isHeld = false;
+    updateOpen (turn);
+}
+
 void TargetGate::stop (Turn& turn)
 {
     m_isStopping = true;
@@ -616,7 +622,8 @@
 
 void TargetGate::updateOpen (Turn& turn)
 {
-    const bool isOpen = ! m_isStopping && m_target.isServing (turn.now()) && turn.now() >= m_closedUntil;
+    const bool isOpen =
+        ! m_isStopping && ! m_isHeld && m_target.isServing (turn.now()) && turn.now() >= m_closedUntil;
 
     if (isOpen == m_isOpen)
         return;
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -71,6 +71,10 @@
     void onWindowEnd (Turn& turn);
     void onPeriodEnd (Turn& turn);
 
+    /** Lets the gate open. Until then it is held closed, since a restarted node does not know yet whether its
+        target has stated a rate limit or that it is leaving. */
+    void release (Turn& turn);
+
     /** Refuses queued and new requests; running requests complete. */
     void stop (Turn& turn);
 
@@ -169,6 +173,7 @@
     double m_failureRate = 0.0;                  /**< moving average, 0 to 1 */
     Time m_closedUntil;                          /**< set when a connection was refused */
     bool m_isOpen = false;
+    bool m_isHeld = true;
     bool m_isStopping = false;
 };
 
--- a/modules/plankledge_policy/relay/peers/PeerTable.h
+++ b/modules/plankledge_policy/relay/peers/PeerTable.h
@@ -146,6 +146,12 @@
     */
     std::vector<InstanceName> takeNewlyUnreachable (Time now);
 
+    /** Records what a peer remembers of the target of this node, which may have been restarted. */
+    void onOwnRestrictionReported (const TargetRestriction& restriction)
+    {
+        m_restrictions.onReported (m_self, restriction);
+    }
+
     const TargetRestrictions& restrictions() const noexcept { return m_restrictions; }
 
     Peer* find (const InstanceName& instance) noexcept;
--- a/modules/plankledge_policy/relay/peers/TargetRestrictions.h
+++ b/modules/plankledge_policy/relay/peers/TargetRestrictions.h
@@ -25,6 +25,12 @@
         restriction. */
     void onGate (const InstanceName& instance, const GateStatus& gate);
 
+    /** Records what a peer remembers of an instance's target, unless something is known already. */
+    void onReported (const InstanceName& instance, const TargetRestriction& restriction)
+    {
+        m_restrictions.try_emplace (instance, restriction);
+    }
+
     /** @returns the restriction of the instance's target; nullopt if there is none */
     std::optional<TargetRestriction> find (const InstanceName& instance) const;
 
--- a/modules/plankledge_wire/FrameCodec.h
+++ b/modules/plankledge_wire/FrameCodec.h
@@ -10,7 +10,7 @@
 {
 
 /** Version of the protocol between nodes. Frames and datagrams of other versions are rejected. */
-inline constexpr std::uint16_t protocolVersion = 4;
+inline constexpr std::uint16_t protocolVersion = 5;
 
 /** Maximum size of a frame's payload, in bytes; a larger encoded length closes the connection. */
 inline constexpr std::uint32_t maxFrameBytes = 4U << 20U;
--- a/tests/relay/gate/LeavingInAnswers_test.cpp
+++ b/tests/relay/gate/LeavingInAnswers_test.cpp
@@ -94,6 +94,76 @@
     CHECK (site.arrivals (target, since, site.now()) == 0);
 }
 
+// Guards against a restarted node that sends its own callers' requests to its target, before any peer has
+// said that the target is leaving or limited.
+TEST_CASE ("a restarted node dispatches no request of its own callers to a target that is leaving")
+{
+    for (int delayMs = 1; delayMs <= 1000; delayMs += 20)
+    {
+        CAPTURE (delayMs);
+        LeavingSite site;
+        site.run (Milliseconds (delayMs));
+        site.restart (site.m_leaving);
+        const auto since = site.now();
+        std::vector<Ticket> tickets;
+
+        for (int index = 0; index < 300; ++index)
+        {
+            tickets.push_back (site.send (site.m_leaving, "own" + std::to_string (index), "/urgent/x"));
+            site.run (Milliseconds (5));
+        }
+
+        site.run (seconds (2));
+        CHECK (site.arrivals (site.m_leaving, since, site.now()) == 0);
+        CHECK (site.served (tickets) == tickets.size());
+    }
+}
+
+TEST_CASE ("a restarted node keeps to the rate that its target stated before")
+{
+    for (int delayMs = 1; delayMs <= 1000; delayMs += 100)
+    {
+        CAPTURE (delayMs);
+        RateSite site (2, 4);
+        const auto& limited = site.targets()[0];
+        site.runUnderLoad (seconds (1), load);
+        site.stateRate (limited, 1.0);
+        site.runUnderLoad (seconds (4), load);
+        site.run (Milliseconds (delayMs));
+
+        site.restart (limited);
+        const auto since = site.now();
+
+        for (int index = 0; index < 1000; ++index)
+        {
+            site.send (limited, "own" + std::to_string (index), "/urgent/x");
+            site.run (Milliseconds (4));
+        }
+
+        CHECK (static_cast<double> (site.maxArrivals (limited, since)) <= allowedInWindow (1.0));
+    }
+}
+
+// Guards against gates that stay closed after a restart, waiting for peers that don't exist or don't answer.
+TEST_CASE ("a restarted gate opens within a second if no peer answers")
+{
+    RateSite site (1, 2);
+    const auto& target = site.targets()[0];
+
+    for (const auto& entry : site.entries())
+        site.addPartition (entry, target);
+
+    site.restart (target);
+    const auto held = site.send (target, "held", "/urgent/x");
+    site.run (Milliseconds (900));
+    CHECK (site.arrivals (target, Time(), site.now()) == 0);
+    site.run (Milliseconds (400));
+    CHECK (site.answers().contains (held));
+    const auto ticket = site.send (target, "open", "/urgent/x");
+    site.run (Milliseconds (200));
+    CHECK (site.served ({ ticket }) == 1);
+}
+
 TEST_CASE ("a target that takes the place of one that was leaving gets requests")
 {
     for (const bool hasSameId : { false, true })
