--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -119,6 +119,18 @@
     return lines;
 }
 
+std::size_t RunHistory::arrivalsAt (const std::string& target, Time since) const
+{
+    const auto found = m_arrivalsByTarget.find (target);
+
+    if (found == m_arrivalsByTarget.end())
+        return 0;
+
+    return static_cast<std::size_t> (
+        std::count_if (found->second.begin(), found->second.end(),
+                       [since] (const TargetArrival& arrival) { return arrival.m_at >= since; }));
+}
+
 void RunHistory::checkAtMostOnce (Lines& lines) const
 {
     std::size_t count = 0;
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -101,6 +101,9 @@
     /** Records that the answers on one connection were not those that its requests must get. */
     void onPipeliningError (std::string what) { m_pipeliningErrors.push_back (std::move (what)); }
 
+    /** @returns how many requests have arrived at a target from a time on */
+    std::size_t arrivalsAt (const std::string& target, Time since) const;
+
     /** @returns the time from which all requests must be served: some time after the last fault */
     Time calmSince() const;
 
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -56,6 +56,9 @@
     SoakTarget (boost::asio::io_context& context, RunHistory& runHistory, Options options,
                 std::uint64_t seed);
 
+    /** @returns the id under which the current incarnation announces itself */
+    const std::string& id() const noexcept { return m_id; }
+
     void setHealth (Health health) { m_health = health; }
 
     /** Announces that it drains, serves requests for a while, then stops and restarts as a new incarnation.
