A connection to the target carries each request id once

Cause: a rejected request is sent again under its id on the connection of its rejection. A surplus copy of the rejection, sent late in place of the response that is due, has the id of the request that waits, and counted as a second rejection while the target ran the request. Change: detail::TargetConnection remembers the ids that a connection has carried. A request that is sent again takes an idle connection that has not carried its id, or a new one. One hook, IdOf, takes the place of the matcher; counters of connections and stray responses. Why it works: a copy stays on the connection of its original and meets only other ids there.

--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -110,6 +110,8 @@
     appendCounters (text, "bad_http_total", metrics.m_badHttp);
     appendCounters (text, "platform_errors_total", metrics.m_platformErrors);
     appendCounter (text, "target_broken_total", metrics.m_brokenTargetCalls);
+    appendCounter (text, "target_connections_total", metrics.m_targetConnections);
+    appendCounter (text, "target_stray_responses_total", metrics.m_strayTargetResponses);
     appendCounter (text, "control_frame_bytes_total", traffic.m_frames);
     appendCounter (text, "control_datagram_bytes_total", traffic.m_datagrams);
     appendCounter (text, "control_platform_bytes_total", traffic.m_platform);
--- a/modules/plankledge_runtime/RelayTargetEdge.cpp
+++ b/modules/plankledge_runtime/RelayTargetEdge.cpp
@@ -10,7 +10,7 @@
     , m_hooks (std::move (hooks))
     , m_client (
           context, [this] (CallId call, TargetClient::Result result) { onDone (call, std::move (result)); },
-          m_hooks.m_isResponseTo)
+          m_hooks.m_idOf)
 {
 }
 
@@ -21,6 +21,8 @@
 
 void RelayTargetEdge::onDone (CallId call, TargetClient::Result result)
 {
+    m_metrics.m_targetConnections = m_client.connectionsOpened();
+    m_metrics.m_strayTargetResponses = m_client.strayResponses();
     TargetReply reply;
 
     if (const auto* failure = std::get_if<TargetFailure> (&result))
--- a/modules/plankledge_runtime/RelayTargetEdge.h
+++ b/modules/plankledge_runtime/RelayTargetEdge.h
@@ -20,7 +20,7 @@
         /** Decodes a complete response, without its call id. */
         std::function<TargetReply (HttpResponse)> m_decode;
 
-        TargetClient::Matcher m_isResponseTo;
+        TargetClient::IdOf m_idOf;
     };
 
     RelayTargetEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics, Hooks hooks);
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/TargetClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
+#include "plankledge_runtime/TargetConnection.h"
 #include <absl/strings/numbers.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -9,7 +10,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <list>
 #include <map>
 #include <optional>
@@ -37,12 +37,12 @@
 /** The number of responses to other requests that are skipped before the connection is closed. */
 constexpr unsigned maxStrayResponses = 3;
 
-using Stream = std::shared_ptr<beast::tcp_stream>;
+using Connection = std::shared_ptr<detail::TargetConnection>;
 
 /** A connection with no call in progress. */
 struct IdleConnection
 {
-    Stream m_stream;
+    Connection m_connection;
     Time m_expiresAt; /**< by the injected clock, which includes time in suspension, as the target's does */
 };
 
@@ -72,10 +72,10 @@
 //==============================================================================
 struct TargetClient::Implementation : std::enable_shared_from_this<TargetClient::Implementation>
 {
-    Implementation (asio::io_context& context, Done done, Matcher isResponseTo, TimeSource time)
+    Implementation (asio::io_context& context, Done done, IdOf idOf, TimeSource time)
         : m_context (context)
         , m_done (std::move (done))
-        , m_isResponseTo (std::move (isResponseTo))
+        , m_idOf (std::move (idOf))
         , m_time (std::move (time))
     {
     }
@@ -87,23 +87,27 @@
         if (! m_active.contains (call))
             co_return; // cancelled before it started
 
-        auto stream = takeIdle();
-        m_active[call] = stream;
+        const auto id = m_idOf ? std::optional<std::string> (m_idOf (request.m_headers)) : std::nullopt;
+        auto connection = takeIdle (id);
+        m_active[call] = connection;
 
-        if (stream == nullptr)
+        if (connection == nullptr)
         {
-            stream = co_await connect (call);
+            connection = co_await connect (call);
 
-            if (stream == nullptr)
+            if (connection == nullptr)
                 co_return;
         }
 
-        const auto headers = request.m_headers;
+        if (id.has_value())
+            connection->addRequest (*id);
+
+        auto& stream = connection->stream();
         const auto sent = toMessage (std::move (request), m_target);
-        const auto [writeError, written] = co_await http::async_write (*stream, sent, asTuple);
+        const auto [writeError, written] = co_await http::async_write (stream, sent, asTuple);
 
         // Even after a write error: a target may respond and close before it has read the whole request.
-        auto response = co_await readResponse (*stream, headers, sent.method() == http::verb::head);
+        auto response = co_await readResponse (stream, id, sent.method() == http::verb::head);
 
         if (m_active.erase (call) == 0)
             co_return; // cancelled in the meantime
@@ -111,15 +115,18 @@
         if (! response.has_value())
             co_return m_done (call, TargetFailure::broken);
 
-        if (! response->m_closesConnection && ! writeError)
-            keepIdle (stream, idleTimeoutOf (response->m_headers));
+        if (! response->m_closesConnection && ! writeError && ! connection->isWornOut())
+            keepIdle (connection, idleTimeoutOf (response->m_headers));
 
         m_done (call, std::move (*response));
     }
 
-    /** @returns the complete response to the request, or nullopt if none was received */
+    /** @param id   of the request; nullopt: requests have none
+
+        @returns the complete response to the request, or nullopt if none was received
+    */
     asio::awaitable<std::optional<HttpResponse>> readResponse (beast::tcp_stream& stream,
-                                                               const HttpHeaders& request, bool isHead)
+                                                               std::optional<std::string> id, bool isHead)
     {
         beast::flat_buffer buffer;
 
@@ -136,11 +143,14 @@
 
             auto response = toResponse (parser.release());
 
-            if (m_isResponseTo && ! m_isResponseTo (request, response))
+            if (id.has_value() && m_idOf (response.m_headers) != *id)
+            {
+                ++m_strayResponses;
                 continue;
+            }
 
             // Bytes after the response: its length is wrong, or it was sent twice.
-            if (buffer.size() > 0 && ! m_isResponseTo)
+            if (buffer.size() > 0 && ! id.has_value())
                 co_return std::nullopt;
 
             response.m_closesConnection = response.m_closesConnection || buffer.size() > 0;
@@ -150,15 +160,16 @@
         co_return std::nullopt;
     }
 
-    asio::awaitable<Stream> connect (CallId call)
+    asio::awaitable<Connection> connect (CallId call)
     {
-        auto stream = std::make_shared<beast::tcp_stream> (m_context);
-        m_active[call] = stream;
-        stream->expires_after (connectTimeout);
+        auto connection = std::make_shared<detail::TargetConnection> (m_context);
+        auto& stream = connection->stream();
+        m_active[call] = connection;
+        stream.expires_after (connectTimeout);
         boost::system::error_code addressError;
         const auto address = asio::ip::make_address (m_target.m_ip, addressError);
         const auto [error] =
-            co_await stream->async_connect (tcp::endpoint (address, m_target.m_port), asTuple);
+            co_await stream.async_connect (tcp::endpoint (address, m_target.m_port), asTuple);
 
         if (error)
         {
@@ -173,50 +184,72 @@
             co_return nullptr;
 
         ++m_connectionsOpened;
-        stream->expires_never();
-        stream->socket().set_option (tcp::no_delay (true));
-        co_return stream;
+        stream.expires_never();
+        stream.socket().set_option (tcp::no_delay (true));
+        co_return connection;
     }
 
     /** Returns a connection to the pool. It is dropped as soon as the target closes it or sends anything. */
-    void keepIdle (const Stream& stream, std::chrono::milliseconds time)
+    void keepIdle (const Connection& connection, std::chrono::milliseconds time)
     {
-        m_idle.push_back ({ stream, m_time() + time });
-        stream->socket().async_wait (tcp::socket::wait_read, [weak = weak_from_this(), stream] (
-                                                                 const boost::system::error_code& error) {
-            const auto self = weak.lock();
-
-            if (self != nullptr && error != asio::error::operation_aborted)
-                self->m_idle.remove_if (
-                    [&stream] (const IdleConnection& idle) { return idle.m_stream == stream; });
-        });
+        m_idle.push_back ({ connection, m_time() + time });
+        connection->stream().socket().async_wait (
+            tcp::socket::wait_read,
+            [weak = weak_from_this(), connection] (const boost::system::error_code& error) {
+                const auto self = weak.lock();
+
+                if (self != nullptr && error != asio::error::operation_aborted)
+                    self->m_idle.remove_if ([&connection] (const IdleConnection& idle) {
+                        return idle.m_connection == connection;
+                    });
+            });
     }
 
-    /** Takes the most recently used connection, so that surplus ones expire. */
-    Stream takeIdle()
+    /** Takes the most recently used connection that has not carried the id, so that surplus ones expire.
+
+        @param id   of the request to be sent; nullopt: requests have none
+    */
+    Connection takeIdle (const std::optional<std::string>& id)
     {
-        while (! m_idle.empty())
+        for (auto next = m_idle.end(); next != m_idle.begin();)
         {
-            const auto [stream, expiresAt] = m_idle.back();
-            m_idle.pop_back();
-            boost::system::error_code error;
-            stream->socket().cancel (error);
+            const auto idle = std::prev (next);
 
-            if (expiresAt <= m_time())
+            if (id.has_value() && idle->m_connection->hasCarried (*id))
+            {
+                next = idle;
                 continue;
+            }
 
-            // An idle connection that is readable was closed by the target, or holds an unsolicited response.
-            stream->socket().non_blocking (true, error);
-            char byte = 0;
-            stream->socket().receive (asio::buffer (&byte, 1), tcp::socket::message_peek, error);
+            const auto [connection, expiresAt] = *idle;
+            next = m_idle.erase (idle);
 
-            if (error == asio::error::would_block)
-                return stream;
+            if (isUsable (connection->stream().socket(), expiresAt))
+                return connection;
         }
 
         return nullptr;
     }
 
+    /** Ends the wait for unsolicited bytes.
+
+        @returns whether a connection from the pool may carry a request
+    */
+    bool isUsable (tcp::socket& socket, Time expiresAt) const
+    {
+        boost::system::error_code error;
+        socket.cancel (error);
+
+        if (expiresAt <= m_time())
+            return false;
+
+        // An idle connection that is readable was closed by the target, or holds an unsolicited response.
+        socket.non_blocking (true, error);
+        char byte = 0;
+        socket.receive (asio::buffer (&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
     void setTarget (const Endpoint& target)
     {
         if (target == m_target)
@@ -233,27 +266,28 @@
         if (found == m_active.end())
             return;
 
-        const auto stream = found->second;
+        const auto connection = found->second;
         m_active.erase (found);
 
-        if (stream != nullptr)
-            stream->close();
+        if (connection != nullptr)
+            connection->stream().close();
     }
 
     asio::io_context& m_context;
     Endpoint m_target;
     Done m_done;
-    Matcher m_isResponseTo;
+    IdOf m_idOf;
     TimeSource m_time;
-    std::map<CallId, Stream> m_active;
+    std::map<CallId, Connection> m_active;
     std::list<IdleConnection> m_idle;
     std::uint64_t m_connectionsOpened = 0;
+    std::uint64_t m_strayResponses = 0;
 };
 
 //==============================================================================
-TargetClient::TargetClient (asio::io_context& context, Done done, Matcher isResponseTo, TimeSource time)
-    : m_implementation (std::make_shared<Implementation> (context, std::move (done), std::move (isResponseTo),
-                                                          std::move (time)))
+TargetClient::TargetClient (asio::io_context& context, Done done, IdOf idOf, TimeSource time)
+    : m_implementation (
+          std::make_shared<Implementation> (context, std::move (done), std::move (idOf), std::move (time)))
 {
 }
 
@@ -282,4 +316,9 @@
     return m_implementation->m_connectionsOpened;
 }
 
+std::uint64_t TargetClient::strayResponses() const noexcept
+{
+    return m_implementation->m_strayResponses;
+}
+
 } // namespace plankledge
--- a/modules/plankledge_runtime/TargetClient.h
+++ b/modules/plankledge_runtime/TargetClient.h
@@ -24,6 +24,9 @@
     the target's idle timeout. It is closed if its call is cancelled, or if the target sends
     unsolicited bytes. A failure after any byte of a call may have been sent is
     TargetFailure::broken.
+
+    If requests have ids, a connection carries each id once, so that a surplus copy of the
+    response to an earlier sending is not taken for the response to a later one.
 */
 class TargetClient
 {
@@ -34,15 +37,15 @@
     /** Called exactly once for each call that is not cancelled. */
     using Done = std::function<void (CallId call, Result result)>;
 
-    /** @returns whether a response belongs to the request. Responses that do not match are skipped,
-        such as a duplicate response to an earlier request. */
-    using Matcher = std::function<bool (const HttpHeaders& request, const HttpResponse& response)>;
+    /** @returns the id that the headers of a request, or of the response to it, carry. Responses with an id
+        other than the request's are skipped, such as a surplus copy of an earlier response. */
+    using IdOf = std::function<std::string_view (const HttpHeaders& headers)>;
 
-    /** @param isResponseTo   if empty, each response is taken as the one to the preceding request, and bytes
-                            after it make the call fail, since responses cannot be matched otherwise
-        @param time         the clock by which idle connections expire
+    /** @param idOf   if empty, each response is taken as the one to the preceding request, and bytes after it
+                      make the call fail, since responses cannot be matched otherwise
+        @param time   the clock by which idle connections expire
     */
-    TargetClient (boost::asio::io_context& context, Done done, Matcher isResponseTo = {},
+    TargetClient (boost::asio::io_context& context, Done done, IdOf idOf = {},
                   TimeSource time = BootClock::now);
     ~TargetClient();
 
@@ -58,6 +61,10 @@
     /** @returns the number of connections opened since the start */
     std::uint64_t connectionsOpened() const noexcept;
 
+    /** @returns the number of responses since the start that were skipped, since they carried another id than
+        the request that was waiting */
+    std::uint64_t strayResponses() const noexcept;
+
 private:
     //==============================================================================
     struct Implementation;
--- a/tests/platform/HttpCodec_test.cpp
+++ b/tests/platform/HttpCodec_test.cpp
@@ -281,12 +281,14 @@
     }
 }
 
-TEST_CASE ("a response is matched to its request by id")
+TEST_CASE ("a request and its response carry the same id")
 {
-    const HttpHeaders request { { "Request-Id", "id-1" } };
-    CHECK (isResponseTo (request, targetResponse (200, { { "request-id", "id-1" } })));
-    CHECK_FALSE (isResponseTo (request, targetResponse (200, { { "Request-Id", "id-2" } })));
-    CHECK_FALSE (isResponseTo (request, targetResponse (200, {})));
+    RelayToTarget dispatch;
+    dispatch.m_content.m_id = "id-1";
+    CHECK (requestIdOf (encodeTargetRequest (dispatch).m_headers) == "id-1");
+    CHECK (requestIdOf (targetResponse (200, { { "request-id", "id-1" } }).m_headers) == "id-1");
+    CHECK (requestIdOf (targetResponse (200, { { "Request-Id", "id-2" } }).m_headers) == "id-2");
+    CHECK (requestIdOf (targetResponse (200, {}).m_headers).empty());
 }
 
 //==============================================================================
