--- a/tests/soak/SoakNode.cpp
+++ b/tests/soak/SoakNode.cpp
@@ -33,9 +33,9 @@
     return fmt::format ("{}:{}", endpoint.m_ip, endpoint.m_port);
 }
 
-bool isSameRequest (const HttpHeaders& request, const HttpResponse& answer)
+std::string_view requestIdOf (const HttpHeaders& headers)
 {
-    return findHeader (request, "Request-Id") == findHeader (answer.m_headers, "Request-Id");
+    return findHeader (headers, "Request-Id");
 }
 
 HttpRequest makeMessage (const SoakNode::ClientRequest& request)
@@ -58,7 +58,7 @@
     , m_options (options)
     , m_clients (
           context, [this] (CallId call, const TargetClient::Result& answer) { onAnswer (call, answer); },
-          isSameRequest)
+          requestIdOf)
 {
     m_peerProxy =
         std::make_unique<LoopbackProxy> (context, endpointAt (peerPort), endpointAt (peerListenPort));
