A request is written while its response is read, and a reset of either ends an answer without a length

Related: a whole early response that reached its caller only as 504 at the time limit, because the target did not read on. Cause: TargetClient wrote the whole request before it read, and read on after a failed write. The system reports a reset once; the write got it, and the read an ordinary end of the stream, which is the end of a response without a length. Change: detail::RequestWriter writes while the response is read. A response that ends with the stream counts only if both directions were sound until then (RFC 9112, section 8). A complete response is passed on at once; if the request has not been written whole, the connection is closed and carries nothing else. Why it works: the reset is reported to the reader or to the writer, whose result is known before the response is judged.

--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -1,7 +1,7 @@
 #include "plankledge_runtime/TargetClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
-#include "plankledge_runtime/TargetConnection.h"
+#include "plankledge_runtime/RequestWriter.h"
 #include <absl/strings/numbers.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -102,21 +102,25 @@
         if (id.has_value())
             connection->addRequest (*id);
 
-        auto& stream = connection->stream();
-        const auto sent = toMessage (std::move (request), m_target);
-        const auto [writeError, written] = co_await http::async_write (stream, sent, asTuple);
-
-        // Even after a write error: a target may respond and close before it has read the whole request.
-        auto response = co_await readResponse (stream, id, sent.method() == http::verb::head);
+        auto message = toMessage (std::move (request), m_target);
+        const bool isHead = message.method() == http::verb::head;
+        const auto writer = std::make_shared<detail::RequestWriter> (connection, std::move (message));
+        writer->start();
+        auto response = co_await readResponse (connection->stream(), *writer, id, isHead);
 
         if (m_active.erase (call) == 0)
             co_return; // cancelled in the meantime
 
-        if (! response.has_value())
-            co_return m_done (call, TargetFailure::broken);
+        const bool isReusable = response.has_value() && ! response->m_closesConnection &&
+                                writer->isComplete() && ! connection->isWornOut();
 
-        if (! response->m_closesConnection && ! writeError && ! connection->isWornOut())
+        if (isReusable)
             keepIdle (connection, idleTimeoutOf (response->m_headers));
+        else
+            connection->stream().close(); // ends the writing too
+
+        if (! response.has_value())
+            co_return m_done (call, TargetFailure::broken);
 
         m_done (call, std::move (*response));
     }
@@ -126,6 +130,7 @@
         @returns the complete response to the request, or nullopt if none was received
     */
     asio::awaitable<std::optional<HttpResponse>> readResponse (beast::tcp_stream& stream,
+                                                               detail::RequestWriter& writer,
                                                                std::optional<std::string> id, bool isHead)
     {
         beast::flat_buffer buffer;
@@ -141,6 +146,11 @@
             if (error)
                 co_return std::nullopt;
 
+            // A response that ends with the stream is incomplete if the connection was reset (RFC 9112,
+            // section 8).
+            if (parser.need_eof() && ! co_await writer.stop())
+                co_return std::nullopt;
+
             auto response = toResponse (parser.release());
 
             if (id.has_value() && m_idOf (response.m_headers) != *id)
--- a/modules/plankledge_runtime/TargetClient.h
+++ b/modules/plankledge_runtime/TargetClient.h
@@ -25,6 +25,10 @@
     unsolicited bytes. A failure after any byte of a call may have been sent is
     TargetFailure::broken.
 
+    A complete response is passed on as soon as it has been received, also if the request has not
+    been written whole; the connection is then closed. A response without a length is complete if
+    the target has closed the connection in order.
+
     If requests have ids, a connection carries each id once, so that a surplus copy of the
     response to an earlier sending is not taken for the response to a later one.
 */
