Words of the connection to the target: duplicates, retries, limit

Readers met three words for one thing (surplus, copy, sent again) and "worn out" for a connection that has carried its number of requests. Change: names and comments only; duplicate of a response, retry of a request, hasReachedLimit.

--- a/modules/plankledge_runtime/NodeMetrics.h
+++ b/modules/plankledge_runtime/NodeMetrics.h
@@ -55,7 +55,7 @@
     Counters::By<PlatformError, PlatformError::platformErrorCount> m_platformErrors;
     std::uint64_t m_brokenTargetCalls = 0;
     std::uint64_t m_targetConnections = 0; /**< opened to the target, by nodes that serve relayed requests */
-    std::uint64_t m_strayTargetResponses = 0; /**< skipped, since they belong to no waiting request */
+    std::uint64_t m_strayTargetResponses = 0; /**< skipped, since they belong to no request in progress */
     std::uint64_t m_requestsReadAhead = 0; /**< read while earlier ones of the connection were unanswered */
     std::size_t m_maxRequestsOnConnection =
         0;                           /**< unanswered at once, since the start; 0 if none read ahead */
--- a/modules/plankledge_runtime/RequestWriter.h
+++ b/modules/plankledge_runtime/RequestWriter.h
@@ -33,9 +33,9 @@
     /** @returns whether the whole request has been written */
     bool isComplete() const noexcept { return m_result.has_value() && ! *m_result; }
 
-    /** Ends the writing, at the end of the stream that the target sends.
+    /** Ends the writing. To be called when the reader has reached the end of the stream.
 
-        @returns whether the connection was sound until then, so that the stream was not cut off by a reset
+        @returns whether the connection had no error until then, so that the stream was not cut off by a reset
     */
     boost::asio::awaitable<bool> stop();
 
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -112,7 +112,7 @@
             co_return; // cancelled in the meantime
 
         const bool isReusable = response.has_value() && ! response->m_closesConnection &&
-                                writer->isComplete() && ! connection->isWornOut();
+                                writer->isComplete() && ! connection->hasReachedLimit();
 
         if (isReusable)
             keepIdle (connection, idleTimeoutOf (response->m_headers));
--- a/modules/plankledge_runtime/TargetClient.h
+++ b/modules/plankledge_runtime/TargetClient.h
@@ -29,8 +29,8 @@
     been written whole; the connection is then closed. A response without a length is complete if
     the target has closed the connection in order.
 
-    If requests have ids, a connection carries each id once, so that a surplus copy of the
-    response to an earlier sending is not taken for the response to a later one.
+    If requests have ids, a connection carries each id once, so that a late duplicate of the
+    response to the first attempt of a request is not taken for the response to its retry.
 */
 class TargetClient
 {
@@ -42,7 +42,7 @@
     using Done = std::function<void (CallId call, Result result)>;
 
     /** @returns the id that the headers of a request, or of the response to it, carry. Responses with an id
-        other than the request's are skipped, such as a surplus copy of an earlier response. */
+        other than the request's are skipped, such as a late duplicate of an earlier response. */
     using IdOf = std::function<std::string_view (const HttpHeaders& headers)>;
 
     /** @param idOf   if empty, each response is taken as the one to the preceding request, and bytes after it
@@ -65,8 +65,8 @@
     /** @returns the number of connections opened since the start */
     std::uint64_t connectionsOpened() const noexcept;
 
-    /** @returns the number of responses since the start that were skipped, since they carried another id than
-        the request that was waiting */
+    /** @returns the number of responses since the start that were skipped, since their id was not that of
+        the request in progress */
     std::uint64_t strayResponses() const noexcept;
 
 private:
--- a/modules/plankledge_runtime/TargetConnection.h
+++ b/modules/plankledge_runtime/TargetConnection.h
@@ -10,11 +10,11 @@
 
 //==============================================================================
 /**
-    A connection to the target, which remembers the ids of the requests that it has carried.
+    A connection to the target that records the ids of the requests sent on it.
 
-    A target may send a surplus copy of a response at any later time, in place of the response
-    that is due. It is recognised by its id, but only if that id was sent on the connection
-    once: a request that is sent again under its id needs another connection.
+    A target may send a duplicate of a response at any later time, in place of the response that
+    is due. It is recognised by its id, but only if that id was sent on the connection once: a
+    request that is retried under its id needs another connection.
 */
 class TargetConnection
 {
@@ -27,15 +27,15 @@
 
     boost::beast::tcp_stream& stream() noexcept { return m_stream; }
 
-    /** Notes that a request is sent on the connection. */
+    /** Records that a request is sent on the connection. */
     void addRequest (std::string_view id);
 
-    /** @returns whether a request with this id was sent on the connection; may be true for an id whose hash
-        is that of another one */
+    /** @returns whether a request with this id was sent on the connection; rarely also true for an id with
+       the same hash as one of these */
     bool hasCarried (std::string_view id) const noexcept;
 
-    /** @returns whether the connection has carried as many requests as it may */
-    bool isWornOut() const noexcept { return m_requests.size() >= maxRequests; }
+    /** @returns whether no further request may be sent on the connection */
+    bool hasReachedLimit() const noexcept { return m_requests.size() >= maxRequests; }
 
     /** Bounds the memory for the ids. */
     static constexpr std::size_t maxRequests = 1000;
--- a/tests/runtime/TargetClient_test.cpp
+++ b/tests/runtime/TargetClient_test.cpp
@@ -28,7 +28,7 @@
 //==============================================================================
 /** Fails the first arrival of some ids, completes all others, and sends each response once more on its
     connection, some responses later. */
-class SurplusTarget
+class DuplicatingTarget
 {
 public:
     struct Options
@@ -36,10 +36,10 @@
         std::set<std::string> m_failsFirst; /**< ids whose first arrival fails */
         unsigned m_failureStatus = 503;
         std::size_t m_lag = 1; /**< a copy is sent before the response that comes so many later; 0: none */
-        std::size_t m_mostSurplus = 1; /**< copies on each connection */
+        std::size_t m_maxDuplicates = 1; /**< copies on each connection */
     };
 
-    SurplusTarget (asio::io_context& context, Options options)
+    DuplicatingTarget (asio::io_context& context, Options options)
         : m_options (std::move (options))
         , m_acceptor (context, tcp::endpoint (asio::ip::make_address ("127.0.0.1"), 0))
     {
@@ -60,7 +60,7 @@
         std::string m_input;
         std::string m_output;
         std::vector<std::string> m_responses;
-        std::size_t m_surplusSent = 0;
+        std::size_t m_duplicatesSent = 0;
     };
 
     using ConnectionPointer = std::shared_ptr<Connection>;
@@ -103,10 +103,10 @@
         connection->m_output.clear();
 
         if (m_options.m_lag > 0 && earlier.size() >= m_options.m_lag &&
-            connection->m_surplusSent < m_options.m_mostSurplus)
+            connection->m_duplicatesSent < m_options.m_maxDuplicates)
         {
             connection->m_output = earlier[earlier.size() - m_options.m_lag];
-            ++connection->m_surplusSent;
+            ++connection->m_duplicatesSent;
         }
 
         connection->m_output += response;
@@ -128,7 +128,7 @@
 class Caller
 {
 public:
-    explicit Caller (const SurplusTarget::Options& options)
+    explicit Caller (const DuplicatingTarget::Options& options)
         : m_target (m_context, options)
     {
     }
@@ -157,7 +157,7 @@
 
 private:
     asio::io_context m_context;
-    SurplusTarget m_target;
+    DuplicatingTarget m_target;
     std::map<CallId, TargetClient::Result> m_results;
     CallId m_lastCall = 0;
     TargetClient m_client {
@@ -166,7 +166,7 @@
     };
 };
 
-/** A request that fails and is sent to the same target again. */
+/** A request that fails and is retried at the same target. */
 struct Row
 {
     std::string m_name;
@@ -175,22 +175,22 @@
 };
 
 const Row rows[] = {
-    { "rejected, sent again at once", 503, 0 },     { "rejected, one request between", 503, 1 },
-    { "rejected, three requests between", 503, 3 }, { "failed, sent again at once", 500, 0 },
+    { "rejected, retried at once", 503, 0 },        { "rejected, one request between", 503, 1 },
+    { "rejected, three requests between", 503, 3 }, { "failed, retried at once", 500, 0 },
     { "failed, two requests between", 500, 2 },
 };
 
 } // namespace
 
 //==============================================================================
-// Guards against a request that runs twice, or is reported as not run although it ran: a surplus copy of the
-// rejection of its first sending was taken for the response to its second one.
-TEST_CASE ("a surplus response to a request's first sending is not taken for that to its second")
+// Guards against a request that runs twice, or is reported as not run although it ran: a duplicate of the
+// rejection of its first attempt was taken for the response to its second one.
+TEST_CASE ("a duplicate response to the first attempt of a request is not taken for that to its retry")
 {
     for (const auto& row : rows)
     {
         CAPTURE (row.m_name);
-        SurplusTarget::Options options;
+        DuplicatingTarget::Options options;
         options.m_failsFirst = { "repeated" };
         options.m_failureStatus = row.m_failureStatus;
         options.m_lag = row.m_requestsBetween + 1;
@@ -215,9 +215,9 @@
     }
 }
 
-TEST_CASE ("a request that is sent again takes an idle connection that has not carried it")
+TEST_CASE ("a request that is retried takes an idle connection that has not carried it")
 {
-    SurplusTarget::Options options;
+    DuplicatingTarget::Options options;
     options.m_failsFirst = { "repeated" };
     Caller caller (options);
     const auto one = caller.send ("one");
@@ -232,10 +232,10 @@
     CHECK (caller.client().connectionsOpened() == 2);
 }
 
-TEST_CASE ("surplus responses to other requests are skipped and counted, and the connection is reused")
+TEST_CASE ("duplicate responses to other requests are skipped and counted, and the connection is reused")
 {
-    SurplusTarget::Options options;
-    options.m_mostSurplus = 2;
+    DuplicatingTarget::Options options;
+    options.m_maxDuplicates = 2;
     Caller caller (options);
 
     for (int number = 0; number < 5; ++number)
@@ -252,7 +252,7 @@
 
 TEST_CASE ("a connection carries a bounded number of requests")
 {
-    SurplusTarget::Options options;
+    DuplicatingTarget::Options options;
     options.m_lag = 0;
     Caller caller (options);
 
