--- a/tests/runtime/TargetClient_test.cpp
+++ b/tests/runtime/TargetClient_test.cpp
@@ -36,7 +36,9 @@
         std::set<std::string> m_failsFirst; /**< ids whose first arrival fails */
         unsigned m_failureStatus = 503;
         std::size_t m_lag = 1; /**< a copy is sent before the response that comes so many later; 0: none */
-        std::size_t m_maxDuplicates = 1; /**< copies on each connection */
+        std::size_t m_maxDuplicates = 1;                 /**< copies on each connection */
+        std::string m_before;                            /**< bytes sent before each response */
+        std::string m_idHeader = std::string (idHeader); /**< of the responses */
     };
 
     DuplicatingTarget (asio::io_context& context, Options options)
@@ -98,14 +100,14 @@
         const auto status =
             arrival == 1 && m_options.m_failsFirst.contains (id) ? m_options.m_failureStatus : 200;
         const auto response = fmt::format ("HTTP/1.1 {} Status\r\n{}: {}\r\nContent-Length: {}\r\n\r\n{}",
-                                           status, idHeader, id, body.size(), body);
+                                           status, m_options.m_idHeader, id, body.size(), body);
         auto& earlier = connection->m_responses;
-        connection->m_output.clear();
+        connection->m_output = m_options.m_before;
 
         if (m_options.m_lag > 0 && earlier.size() >= m_options.m_lag &&
             connection->m_duplicatesSent < m_options.m_maxDuplicates)
         {
-            connection->m_output = earlier[earlier.size() - m_options.m_lag];
+            connection->m_output += earlier[earlier.size() - m_options.m_lag];
             ++connection->m_duplicatesSent;
         }
 
@@ -250,6 +252,24 @@
     CHECK (caller.client().connectionsOpened() == 1);
 }
 
+// Guards against a response that reaches the caller of another request.
+TEST_CASE ("a response belongs to the request with the same id only, in any case of the header's name")
+{
+    for (const auto* other : { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nno id",
+                               "HTTP/1.1 200 OK\r\nId: request-2\r\nContent-Length: 8\r\n\r\nother id" })
+    {
+        DuplicatingTarget::Options options;
+        options.m_lag = 0;
+        options.m_before = other;
+        options.m_idHeader = "iD";
+        Caller caller (options);
+        const auto response = caller.request ("request-1");
+        REQUIRE (response.has_value());
+        CHECK (response->m_body == "request-1, arrival 1");
+        CHECK (caller.client().strayResponses() == 1);
+    }
+}
+
 TEST_CASE ("a connection carries a bounded number of requests")
 {
     DuplicatingTarget::Options options;
