--- /dev/null
+++ b/tests/untrusted/StubTarget.cpp
@@ -0,0 +1,135 @@
+#include "untrusted/StubTarget.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+namespace plankledge::test
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto asTuple = asio::as_tuple (asio::use_awaitable);
+constexpr auto slowDuration = std::chrono::milliseconds (1500);
+constexpr auto announcementPeriod = std::chrono::milliseconds (500);
+
+/** In bytes; above all limits of the nodes' settings. */
+constexpr std::uint64_t maxRequestBody = 256U << 20U;
+
+} // namespace
+
+StubTarget::StubTarget (asio::io_context& context, const NodeProcess& node)
+    : m_context (context)
+    , m_options (node.options())
+    , m_listen (node.target())
+    , m_control (node.control())
+    , m_acceptor (context, { asio::ip::make_address (m_listen.m_ip), m_listen.m_port })
+    , m_timer (context)
+    , m_client (context)
+{
+    asio::co_spawn (m_context, accept(), asio::detached);
+    asio::co_spawn (m_context, announce(), asio::detached);
+}
+
+asio::awaitable<void> StubTarget::accept()
+{
+    for (;;)
+    {
+        auto [error, socket] = co_await m_acceptor.async_accept (asTuple);
+
+        if (error)
+            co_return;
+
+        asio::co_spawn (m_context, serve (std::move (socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> StubTarget::serve (tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+
+    for (;;)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit (maxRequestBody);
+        const auto [error, size] = co_await http::async_read (socket, buffer, parser, asTuple);
+
+        if (error)
+            co_return;
+
+        ++m_requests;
+        const auto& request = parser.get();
+        const std::string target (request.target());
+        const std::string id (request["Request-Id"]);
+
+        if (target.ends_with ("/endless"))
+            co_return co_await sendEndless (socket, id);
+
+        if (target.ends_with ("/slow"))
+        {
+            asio::steady_timer timer (m_context, slowDuration);
+            co_await timer.async_wait (asio::use_awaitable);
+        }
+
+        http::response<http::string_body> response (http::status::ok, 11);
+        response.set ("Request-Id", id);
+
+        if (target.ends_with ("/large"))
+            response.body().assign (largeBytes, 'x');
+
+        response.prepare_payload();
+        const auto [writeError, written] = co_await http::async_write (socket, response, asTuple);
+
+        if (writeError)
+            co_return;
+    }
+}
+
+asio::awaitable<void> StubTarget::sendEndless (tcp::socket& socket, std::string id)
+{
+    const std::string trailer = "X-Field: " + std::string (1000, 'x') + "\r\n";
+    std::string bytes =
+        fmt::format ("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", id);
+
+    for (;;)
+    {
+        const auto [error, size] = co_await asio::async_write (socket, asio::buffer (bytes), asTuple);
+
+        if (error)
+            co_return;
+
+        bytes = trailer;
+    }
+}
+
+asio::awaitable<void> StubTarget::announce()
+{
+    for (std::uint64_t sequence = 1;; ++sequence)
+    {
+        HttpRequest request;
+        request.m_method = "PUT";
+        request.m_target = fmt::format ("/-/instances/{}-target", m_options.m_instance);
+        request.m_body =
+            fmt::format (R"({{"service":"{}","address":"{}:{}","zone":"zone-a","version":"v1","slots":200,)"
+                         R"("state":"ready","coldLeftS":0,"callSeq":{}}})",
+                         m_options.m_service, m_listen.m_ip, m_listen.m_port, sequence);
+        m_client.send (m_control, std::move (request), std::chrono::seconds (1), [] (const auto&) {});
+        m_timer.expires_after (announcementPeriod);
+        const auto [error] = co_await m_timer.async_wait (asTuple);
+
+        if (error)
+            co_return;
+    }
+}
+
+} // namespace plankledge::test
