A message's framing is read in bounded memory

What callers saw: nothing, until a node ended. A client that sends trailer fields, or extensions of a chunk, without end made the process run out of memory; so did a target at the node beside it.

Cause: Beast's parser waits for a whole trailer section, or for the whole line in front of a chunk, in one piece, and http::async_read() reads on until it is there. The limits of the header and of the body do not count these bytes, and the buffer had none.

Change: readMessage() reads for all servers and clients (callers, control, readiness, metrics; targets; the store and the platform). It bounds what is buffered by the header's limit and one read, and the sum of all chunk extensions of a message by the header's limit. Such a request gets 413, as a header that is too long; such a response is broken.

--- a/modules/plankledge_runtime/HttpClient.cpp
+++ b/modules/plankledge_runtime/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/HttpClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
+#include "plankledge_runtime/MessageReader.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -83,9 +84,8 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit (maxResponseBytes);
-    const auto [readError, size] = co_await http::async_read (stream, buffer, parser, asTuple);
 
-    if (readError)
+    if (const auto readError = co_await detail::readMessage (stream, buffer, parser, maxHeaderBytes, nullptr))
         co_return done (toStatus (readError));
 
     done (toResponse (parser.release()));
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/HttpServer.h"
 
 #include "plankledge_runtime/Acceptor.h"
+#include "plankledge_runtime/MessageReader.h"
 #include "plankledge_runtime/ResponseOrder.h"
 #include <array>
 #include <boost/asio/as_tuple.hpp>
@@ -85,7 +86,7 @@
 
 HttpServerError classify (const beast::error_code& error) noexcept
 {
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return HttpServerError::headerTooLarge;
 
     if (error == http::error::body_limit)
@@ -243,18 +244,18 @@
     asio::awaitable<void> readRequest()
     {
         auto& parser = m_parser.emplace();
-        parser.header_limit (maxHeaderBytes);
         parser.body_limit (maxBodyBytes);
         m_hasReadAhead = m_hasReadAhead || m_order.size() > 0;
         m_isReading = true;
         m_stream.expires_after (idleTimeout);
-        const auto [error, size] = co_await http::async_read (m_stream, m_buffer, parser, asTuple);
+        const auto error = co_await detail::readMessage (m_stream, m_buffer, parser, maxHeaderBytes, nullptr);
         m_isReading = false;
         m_hasBytes = false;
 
-        const bool hasBegun = parser.got_some();
+        const bool hasBegun = parser.got_some() || m_buffer.size() > 0;
         auto message = parser.release();
         m_parser.reset();
+        detail::releaseUnused (m_buffer);
 
         if (error == asio::error::operation_aborted && m_service->m_isShuttingDown && ! hasBegun)
             co_return; // serve() closes the connection unless a request has arrived meanwhile
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/TargetClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
+#include "plankledge_runtime/MessageReader.h"
 #include "plankledge_runtime/RequestWriter.h"
 #include <absl/strings/numbers.h>
 #include <boost/asio/as_tuple.hpp>
@@ -139,11 +140,9 @@
         {
             http::response_parser<http::string_body> parser;
             parser.body_limit (maxBodyBytes);
-            parser.header_limit (maxHeaderBytes);
             parser.skip (isHead);
-            const auto [error, size] = co_await http::async_read (stream, buffer, parser, asTuple);
 
-            if (error)
+            if (co_await detail::readMessage (stream, buffer, parser, maxHeaderBytes, nullptr))
                 co_return std::nullopt;
 
             // A response that ends with the stream is incomplete if the connection was reset (RFC 9112,
