--- a/modules/plankledge_core/Outcome.cpp
+++ b/modules/plankledge_core/Outcome.cpp
@@ -51,6 +51,7 @@
     "limit-unknown",
     "crashes-targets",
     "target-rate-limit",
+    "memory-full",
 };
 
 static_assert (! reasonNames.back().empty(), "every reason has a name");
--- a/modules/plankledge_core/Outcome.h
+++ b/modules/plankledge_core/Outcome.h
@@ -62,6 +62,7 @@
     limitUnknown,    /**< no node that counts the organisation's requests is reachable */
     crashesTargets,  /**< targets ended while they ran an equivalent request */
     targetRateLimit, /**< the rate limit that the target states is reached */
+    memoryFull,      /**< the node has no memory for it beside the work in progress */
     reasonCount
 };
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -74,6 +74,31 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_instance, m_calls); }
 };
 
+/** There was no room to queue these calls for the peer: none of them was sent. The peer and the connection to it
+    are not affected. */
+struct CallsNotQueued
+{
+    InstanceName m_instance;
+    std::vector<CallId> m_calls;
+
+    auto operator<=> (const CallsNotQueued&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_instance, m_calls); }
+};
+
+/** There was no room to keep a peer's relayed request. It has not been passed on. */
+struct PeerCallRefused
+{
+    LinkId m_link = 0;
+    NodeId m_from;
+    CallId m_call = 0;
+    RouteName m_route;
+
+    auto operator<=> (const PeerCallRefused&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_link, m_from, m_call, m_route); }
+};
+
 /** The connection that this node opened to the peer broke; messages sent over it may have arrived. */
 struct PeerLost
 {
@@ -402,7 +427,7 @@
                                PeerUnreachable, PeerLost, LinkClosed, GossipReceived, TargetAnswered,
                                TargetFailed, TargetObserved, ListReceived, ConfigurationRead, JoinsRead,
                                StopRequested, RelayRequestReceived, TargetReply, TargetAnnounced, RoutesRead,
-                               RoutesConfirmed, MembersRead, StoreReachabilityChanged, StoreRestored>;
+                               RoutesConfirmed, MembersRead, StoreReachabilityChanged, StoreRestored, CallsNotQueued, PeerCallRefused>;
 
 //==============================================================================
 struct Event
--- a/modules/plankledge_policy/KeyedRequests.h
+++ b/modules/plankledge_policy/KeyedRequests.h
@@ -55,6 +55,10 @@
         m_outgoing.onCallerDisconnected (m_turn, event.m_ticket);
     }
     void handle (const PeerUnreachable& event);
+    void handle (const CallsNotQueued& event)
+    {
+        m_outgoing.onCallsNotSent (m_turn, event.m_instance, event.m_calls, Reason::queueFull);
+    }
     void handle (const PeerLost& event);
     void handle (const LinkClosed& event) { m_inbound.onLinkClosed (m_turn, event.m_link); }
     void handle (const GossipReceived& event);
--- a/modules/plankledge_policy/calls/OutgoingCalls.cpp
+++ b/modules/plankledge_policy/calls/OutgoingCalls.cpp
@@ -307,7 +307,12 @@
                                        const std::vector<CallId>& calls)
 {
     m_router.onUnreachable (lastKnownNodeId (instance), turn.now());
+    onCallsNotSent (turn, instance, calls, Reason::peerUnreachable);
+}
 
+void OutgoingCalls::onCallsNotSent (Turn& turn, const InstanceName& instance,
+                                    const std::vector<CallId>& calls, Reason reason)
+{
     for (const auto call : calls)
     {
         const auto found = m_byCall.find (call);
@@ -322,7 +327,7 @@
 
         CallResult result;
         result.m_outcome = Outcome::notRun;
-        result.m_reason = Reason::peerUnreachable;
+        result.m_reason = reason;
         onCallFailed (turn, id, result);
     }
 }
--- a/modules/plankledge_policy/calls/OutgoingCalls.h
+++ b/modules/plankledge_policy/calls/OutgoingCalls.h
@@ -53,6 +53,10 @@
     */
     void onPeerUnreachable (Turn& turn, const InstanceName& instance, const std::vector<CallId>& calls);
 
+    /** These calls were not sent to the instance, for the given reason. */
+    void onCallsNotSent (Turn& turn, const InstanceName& instance, const std::vector<CallId>& calls,
+                         Reason reason);
+
     /** Fails all calls sent to a peer whose connection was lost; they may have run. */
     void onPeerLost (Turn& turn, const InstanceName& instance);
 
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -279,7 +279,7 @@
 void RelayDecisions::handle (const PeerUnreachable& event)
 {
     onPeerDown (event.m_instance);
-    m_entry.onPeerUnreachable (m_turn, event.m_instance, event.m_calls);
+    m_entry.onCallsNotSent (m_turn, event.m_instance, event.m_calls, Reason::peerUnreachable);
 }
 
 void RelayDecisions::handle (const PeerLost& event)
--- a/modules/plankledge_policy/relay/RelayDecisions.h
+++ b/modules/plankledge_policy/relay/RelayDecisions.h
@@ -65,6 +65,15 @@
     void handle (const RoutesConfirmed& event);
     void handle (const StoreRestored& event);
     void handle (const PeerUnreachable& event);
+    void handle (const CallsNotQueued& event)
+    {
+        m_entry.onCallsNotSent (m_turn, event.m_instance, event.m_calls, Reason::queueFull);
+    }
+    void handle (const PeerCallRefused& event)
+    {
+        m_gate.refuse (m_turn, { event.m_link, event.m_from.m_instance, event.m_call }, event.m_route,
+                       Reason::queueFull);
+    }
     void handle (const PeerLost& event);
     void handle (const MembersRead& event);
     void handle (const StoreReachabilityChanged& event) { m_store.onReached (event, m_turn.now()); }
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -436,8 +436,8 @@
     onAttemptFailed (turn, id, answer.m_result);
 }
 
-void RelayEntry::onPeerUnreachable (Turn& turn, const InstanceName& instance,
-                                    const std::vector<CallId>& calls)
+void RelayEntry::onCallsNotSent (Turn& turn, const InstanceName& instance, const std::vector<CallId>& calls,
+                                 Reason reason)
 {
     for (const auto call : calls)
     {
@@ -450,7 +450,7 @@
         auto& request = m_requests.at (id);
         clearAttempt (request);
         request.m_tried.insert (instance);
-        onAttemptFailed (turn, id, { Outcome::notRun, Reason::peerUnreachable, {}, {} });
+        onAttemptFailed (turn, id, { Outcome::notRun, reason, {}, {} });
     }
 }
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -61,8 +61,9 @@
     /** @param from   the instance that answered, this one included */
     void onAnswer (Turn& turn, const InstanceName& from, const RelayAnswer& answer);
 
-    /** No connection could be established: these calls were not sent. */
-    void onPeerUnreachable (Turn& turn, const InstanceName& instance, const std::vector<CallId>& calls);
+    /** These calls were not sent to the instance, for the given reason. */
+    void onCallsNotSent (Turn& turn, const InstanceName& instance, const std::vector<CallId>& calls,
+                         Reason reason);
 
     /** The peer left a hello unanswered: retries its requests elsewhere if their routes are repeatable. */
     void onPeerUnresponsive (Turn& turn, const InstanceName& instance);
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -109,6 +109,12 @@
     dispatchNext (turn);
 }
 
+void TargetGate::refuse (Turn& turn, const GateCaller& caller, const RouteName& route, Reason reason)
+{
+    ++turn.counters().m_refusals[reason];
+    answer (turn, caller, route, refusal (reason, turn.now()));
+}
+
 TargetGate::Call TargetGate::makeCall (Turn& turn, const GateCaller& caller, RelayRequest request) const
 {
     Call call;
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -61,6 +61,9 @@
     */
     void receive (Turn& turn, const GateCaller& caller, RelayRequest request);
 
+    /** Refuses a request that was not passed to receive(). */
+    void refuse (Turn& turn, const GateCaller& caller, const RouteName& route, Reason reason);
+
     void cancel (Turn& turn, const GateCaller& caller);
     void onLinkClosed (Turn& turn, LinkId link);
     void onReply (Turn& turn, const TargetReply& reply);
--- a/modules/plankledge_runtime/CallerEdge.cpp
+++ b/modules/plankledge_runtime/CallerEdge.cpp
@@ -1,21 +1,17 @@
 #include "plankledge_runtime/CallerEdge.h"
 
-namespace plankledge
-{
+#include "plankledge_runtime/HttpErrorResponses.h"
 
-HttpResponse makeHttpError (HttpServerError error)
+namespace plankledge
 {
-    const bool isTooLarge = error != HttpServerError::malformed;
-    return makeProblem (isTooLarge ? 413 : 400, Outcome::notRun,
-                        plankledge::nameOf (isTooLarge ? Reason::requestTooLarge : Reason::badRequest));
-}
 
 //==============================================================================
-CallerEdge::CallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics)
+CallerEdge::CallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics,
+                        const ProcessResourcesPointer& resources)
     : m_node (node)
     , m_metrics (metrics)
-    , m_callerServer (context, hooks (false))
-    , m_outboundServer (context, hooks (true))
+    , m_callerServer (context, hooks (false), resources)
+    , m_outboundServer (context, hooks (true), resources)
 {
 }
 
@@ -24,9 +20,9 @@
     return { [this, isOutbound] (HttpRequest request, HttpServer::Respond respond) {
                 return onRequest (std::move (request), std::move (respond), isOutbound);
             },
-             [this] (HttpServerError error) {
+             [this, responses = HttpErrorResponses()] (HttpServerError error) mutable {
                  ++m_metrics.m_badHttp[error];
-                 return makeHttpError (error);
+                 return responses (error);
              } };
 }
 
--- a/modules/plankledge_runtime/CallerEdge.h
+++ b/modules/plankledge_runtime/CallerEdge.h
@@ -15,7 +15,8 @@
 {
 public:
     //==============================================================================
-    CallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics);
+    CallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics,
+                const ProcessResourcesPointer& resources);
 
     /** @returns the error if an address cannot be bound */
     absl::Status listen (const Endpoint& callers, const Endpoint& outbound);
@@ -50,7 +51,4 @@
     std::map<Ticket, PendingRequest> m_pendingRequests;
 };
 
-/** @returns the response to a request that is malformed HTTP or too large */
-HttpResponse makeHttpError (HttpServerError error);
-
 } // namespace plankledge
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/HttpServer.h"
 
 #include "plankledge_runtime/Acceptor.h"
+#include "plankledge_runtime/IncrementalBody.h"
 #include "plankledge_runtime/MessageReader.h"
 #include "plankledge_runtime/ResponseOrder.h"
 #include <array>
@@ -47,7 +48,9 @@
     descriptors. */
 constexpr ResponseOrder::Limits readAheadLimits { 8, 1U << 20U };
 
-HttpRequest toRequest (http::request<http::string_body> message)
+using Message = http::request<detail::IncrementalBody>;
+
+HttpRequest toRequest (Message message)
 {
     HttpRequest request;
     request.m_method = std::string (message.method_string());
@@ -131,7 +134,7 @@
 {
     shutdownSend (stream);
     stream.expires_after (timeout);
-    std::array<char, 16384> bytes {};
+    static thread_local std::array<char, 16384> bytes; // shared, since nobody looks at what is read
 
     for (std::size_t discarded = 0; discarded < maxDiscardedBytes;)
     {
@@ -150,12 +153,16 @@
 /** What the connections of a server share. */
 struct Service
 {
-    explicit Service (HttpServer::Hooks hooks)
+    Service (HttpServer::Hooks hooks, ProcessResourcesPointer resources)
         : m_hooks (std::move (hooks))
+        , m_resources (std::move (resources))
     {
     }
 
+    MemoryBudget& memory() const noexcept { return m_resources->m_memory; }
+
     HttpServer::Hooks m_hooks;
+    const ProcessResourcesPointer m_resources;
     bool m_closesAfterResponses = false;
     bool m_isShuttingDown = false;
     std::set<Connection*> m_connections;
@@ -181,6 +188,9 @@
         , m_stream (std::move (socket))
         , m_changed (m_stream.get_executor())
         , m_order (m_service->m_hooks.m_mayRunAhead ? readAheadLimits : ResponseOrder::Limits())
+        , m_incomplete (m_service->memory(), MemoryUse::incompleteMessages, [this] { dropRequest(); })
+        , m_unread (m_service->memory(), MemoryUse::unreadResponses, [this] { m_stream.close(); })
+        , m_charge (m_service->memory(), MemoryUse::requests)
     {
         m_changed.expires_at (asio::steady_timer::time_point::max());
         m_service->m_connections.insert (this);
@@ -247,30 +257,67 @@
         parser.body_limit (maxBodyBytes);
         m_hasReadAhead = m_hasReadAhead || m_order.size() > 0;
         m_isReading = true;
-        m_stream.expires_after (idleTimeout);
-        const auto error = co_await detail::readMessage (m_stream, m_buffer, parser, maxHeaderBytes, nullptr);
+        const auto error = co_await detail::readMessage (
+            m_stream, m_buffer, parser, maxHeaderBytes,
+            [this] (const detail::ReadProgress& progress) { return beforeRead (progress); });
         m_isReading = false;
         m_hasBytes = false;
 
         const bool hasBegun = parser.got_some() || m_buffer.size() > 0;
         auto message = parser.release();
         m_parser.reset();
+        m_incomplete.reset();
         detail::releaseUnused (m_buffer);
+        const bool isDropped = std::exchange (m_isDropped, false) || error == asio::error::no_buffer_space;
 
         if (error == asio::error::operation_aborted && m_service->m_isShuttingDown && ! hasBegun)
             co_return; // serve() closes the connection unless a request has arrived meanwhile
 
-        if (error && ! isProtocolError (error))
+        if (isDropped && m_order.isOpen())
+            respondToError (HttpServerError::memoryFull);
+        else if (error && ! isProtocolError (error))
             cancel (m_order.disconnect());
         else if (! m_order.isOpen())
             co_return; // the request is behind the last one that is answered
         else if (error)
-            respondToError (error);
+            respondToError (classify (error));
+        else if (! hasRoomFor (message.body()))
+            respondToError (HttpServerError::memoryFull);
         else
             accept (std::move (message));
     }
 
-    void accept (http::request<http::string_body> message)
+    /** @returns an error if there is no room for what has been received */
+    beast::error_code beforeRead (const detail::ReadProgress& progress)
+    {
+        const bool isOrdinary = progress.m_held <= detail::headerReadSize;
+
+        if (m_isDropped || (! isOrdinary && ! m_incomplete.grow (progress.m_held)))
+            return asio::error::no_buffer_space;
+
+        m_stream.expires_after (idleTimeout);
+        return {};
+    }
+
+    /** Gives up the request that is being read in favour of others. */
+    void dropRequest()
+    {
+        m_isDropped = true;
+        std::string().swap (m_parser->get().body()); // frees the memory
+
+        // A cancelled stream would also end the writing of a response to an earlier request.
+        if (m_order.size() == 0)
+            m_stream.cancel();
+    }
+
+    bool hasRoomFor (const std::string& body)
+    {
+        return m_service->memory().makeRoom (body.size(), body.size() <= smallMessageBytes
+                                                              ? m_service->m_hooks.m_smallPriority
+                                                              : MemoryPriority::largeRequest);
+    }
+
+    void accept (Message message)
     {
         const auto version = message.version();
         const bool isLast = ! message.keep_alive();
@@ -280,6 +327,7 @@
         const auto id = m_order.accept (hooks.m_mayRunAhead && hooks.m_mayRunAhead (request), isLast,
                                         request.m_body.size());
         m_exchanges[id] = { std::move (request), version, isHead, {} };
+        updateCharge();
 
         if (m_order.size() > 1 && hooks.m_onReadAhead)
             hooks.m_onReadAhead (m_order.size());
@@ -287,12 +335,12 @@
         startRequests();
     }
 
-    void respondToError (const beast::error_code& error)
+    void respondToError (HttpServerError error)
     {
         m_hasReadError = true;
         const auto id = m_order.accept (false, true, 0);
         m_exchanges[id] = {};
-        respond (id, m_service->m_hooks.m_onError (classify (error)));
+        respond (id, m_service->m_hooks.m_onError (error));
     }
 
     /** Passes requests that may run now to the hook. */
@@ -314,8 +362,11 @@
 
     void respond (ResponseOrder::Id id, HttpResponse response)
     {
-        cancel (m_order.complete (id, std::move (response)));
+        if (! m_service->memory().makeRoom (response.m_body.size(), MemoryPriority::begunWork))
+            response = m_service->m_hooks.m_onError (HttpServerError::responseDropped);
 
+        cancel (m_order.complete (id, std::move (response)));
+        updateCharge();
         writeNext();
     }
 
@@ -332,6 +383,13 @@
         m_message =
             toMessage (std::move (next->m_response), exchange.m_version, ! next->m_isLast, exchange.m_isHead);
         m_stream.expires_after (writeTimeout);
+
+        if (m_message.body().size() > smallMessageBytes)
+        {
+            m_unread.hold (m_message.body().size());
+            updateCharge();
+        }
+
         http::async_write (m_stream, m_message,
                            [self = shared_from_this()] (const beast::error_code& error, std::size_t) {
                                self->onWritten (error);
@@ -341,17 +399,26 @@
     void onWritten (const beast::error_code& error)
     {
         m_message = {};
+        m_unread.reset();
         m_order.onWritten();
 
         if (error)
             cancel (m_order.disconnect());
 
+        updateCharge();
         startRequests();
         writeNext();
         endReadIfFinished();
         m_changed.cancel();
     }
 
+    /** Charges for the requests that are not answered and the responses that are not written. */
+    void updateCharge()
+    {
+        const auto held = m_order.bodyBytes();
+        m_charge.resize (held > m_unread.bytes() ? held - m_unread.bytes() : 0);
+    }
+
     void cancel (const std::vector<ResponseOrder::Id>& ids)
     {
         std::vector<std::function<void()>> callbacks;
@@ -434,12 +501,16 @@
     const std::shared_ptr<Service> m_service;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser; /**< of the request being read */
+    std::optional<http::request_parser<detail::IncrementalBody>> m_parser; /**< of the request being read */
     asio::steady_timer m_changed; /**< cancelled to wake the coroutine that reads */
     ResponseOrder m_order;
+    DroppableMessage m_incomplete; /**< the request being read */
+    DroppableMessage m_unread;     /**< the response being written, if it is large */
+    MemoryCharge m_charge;         /**< for other requests and responses */
     std::map<ResponseOrder::Id, Exchange> m_exchanges;
     http::response<http::string_body> m_message; /**< being written */
     bool m_isReading = false;
+    bool m_isDropped = false; /**< whether the request being read was given up in favour of others */
     bool m_isWatching = false;
     bool m_hasBytes = false; /**< whether unread bytes were seen in the socket */
     bool m_hasReadAhead = false;
@@ -451,17 +522,18 @@
 //==============================================================================
 std::string_view nameOf (HttpServerError error) noexcept
 {
-    constexpr std::array<std::string_view, 3> names { "malformed", "header-too-large", "body-too-large" };
+    constexpr std::array<std::string_view, 5> names { "malformed", "header-too-large", "body-too-large",
+                                                      "memory-full", "response-dropped" };
     return names.at (static_cast<std::size_t> (error));
 }
 
 //==============================================================================
 struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation>
 {
-    Implementation (asio::io_context& context, Hooks hooks)
+    Implementation (asio::io_context& context, Hooks hooks, ProcessResourcesPointer resources)
         : m_context (context)
         , m_acceptor (context)
-        , m_service (std::make_shared<Service> (std::move (hooks)))
+        , m_service (std::make_shared<Service> (std::move (hooks), std::move (resources)))
     {
     }
 
@@ -493,8 +565,8 @@
 };
 
 //==============================================================================
-HttpServer::HttpServer (asio::io_context& context, Hooks hooks)
-    : m_implementation (std::make_shared<Implementation> (context, std::move (hooks)))
+HttpServer::HttpServer (asio::io_context& context, Hooks hooks, ProcessResourcesPointer resources)
+    : m_implementation (std::make_shared<Implementation> (context, std::move (hooks), std::move (resources)))
 {
 }
 
--- a/modules/plankledge_runtime/HttpServer.h
+++ b/modules/plankledge_runtime/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "plankledge_core/Identity.h"
 #include "plankledge_runtime/Http.h"
+#include "plankledge_runtime/ProcessResources.h"
 #include <absl/status/status.h>
 #include <functional>
 #include <memory>
@@ -14,12 +15,14 @@
 namespace plankledge
 {
 
-/** Reasons for which a request cannot be parsed. Each has its own counter. */
+/** Reasons for which a request cannot be read or answered. Each has its own counter. */
 enum class HttpServerError : std::uint8_t
 {
     malformed,
     headerTooLarge,
     bodyTooLarge,
+    memoryFull,      /**< there is no room for it beside the requests in progress */
+    responseDropped, /**< there is no room for the response to a request that has run */
     httpServerErrorCount
 };
 
@@ -30,9 +33,11 @@
 /**
     Serves HTTP/1.1 on one address with Boost.Beast.
 
-    Header and body sizes are limited. The response to a request may be sent at any later time, on the same
-    thread; the server reports a client that disconnects before that. Responses are written in the order of
-   the requests.
+    Header and body sizes are limited, and so is the memory for the requests and responses of all
+    connections together: requests that are not complete are dropped in favour of others, the one
+    that has made no progress for longest first, and responses that a client does not read. The response to a
+   request may be sent at any later time, on the same thread; the server reports a client that disconnects
+   before that. Responses are written in the order of the requests.
 
     @see ResponseOrder
 */
@@ -52,7 +57,7 @@
         */
         std::function<std::function<void()> (HttpRequest, Respond)> m_onRequest;
 
-        /** Makes the response to a request that cannot be parsed. */
+        /** Makes the response to a request that cannot be read, or whose own response is dropped. */
         std::function<HttpResponse (HttpServerError)> m_onError;
 
         /** Whether a request may run at the same time as others of its connection for which this holds too.
@@ -62,9 +67,13 @@
         /** Called for a request that was read while earlier ones of its connection were unanswered, with the
             number of these and itself. May be empty. */
         std::function<void (std::size_t)> m_onReadAhead = nullptr;
+
+        /** The claim of small requests to memory. */
+        MemoryPriority m_smallPriority = MemoryPriority::smallRequest;
     };
 
-    HttpServer (boost::asio::io_context& context, Hooks hooks);
+    HttpServer (boost::asio::io_context& context, Hooks hooks,
+                ProcessResourcesPointer resources = std::make_shared<ProcessResources>());
     ~HttpServer();
 
     /** Starts listening.
--- a/modules/plankledge_runtime/KeyedNode.cpp
+++ b/modules/plankledge_runtime/KeyedNode.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/KeyedNode.h"
 
 #include "plankledge_formats/DeclarationsJson.h"
+#include "plankledge_runtime/HttpErrorResponses.h"
 
 #include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
@@ -16,19 +17,13 @@
 //==============================================================================
 KeyedNode::KeyedNode (boost::asio::io_context& context, const NodeOptions& options, Logger& logger)
     : m_options (options)
+    , m_resources (std::make_shared<ProcessResources> (options.m_limits))
     , m_node (context, std::make_unique<Reducer> (options.m_settings, makeDeclarationsParser()), logger)
-    , m_callers (context, m_node, m_metrics)
-    , m_target (context, m_node, options.m_target, m_metrics)
+    , m_callers (context, m_node, m_metrics, m_resources)
+    , m_target (context, m_node, options.m_target, m_metrics, m_resources)
     , m_log (context, m_node, options.m_platform, options.m_settings.m_self.m_id.m_instance, m_metrics)
-    , m_peers (context, m_node, options.m_settings.m_self.m_id, m_metrics)
-    , m_adminServer (context, { [this] (const HttpRequest& request, const HttpServer::Respond& respond) {
-                                   respond (answerAdmin (request));
-                                   return std::function<void()>();
-                               },
-                                [this] (HttpServerError error) {
-                                    ++m_metrics.m_badHttp[error];
-                                    return makeHttpError (error);
-                                } })
+    , m_peers (context, m_node, options.m_settings.m_self.m_id, m_metrics, m_resources)
+    , m_adminServer (context, adminHooks(), m_resources)
 {
     m_node.addEdge (handlerOf (m_callers));
     m_node.addEdge (handlerOf (m_target));
@@ -73,6 +68,21 @@
 }
 
 //==============================================================================
+HttpServer::Hooks KeyedNode::adminHooks()
+{
+    HttpServer::Hooks hooks;
+    hooks.m_onRequest = [this] (const HttpRequest& request, const HttpServer::Respond& respond) {
+        respond (answerAdmin (request));
+        return std::function<void()>();
+    };
+    hooks.m_onError = [this, responses = HttpErrorResponses()] (HttpServerError error) mutable {
+        ++m_metrics.m_badHttp[error];
+        return responses (error);
+    };
+    hooks.m_smallPriority = MemoryPriority::begunWork; // operators are served also when memory is short
+    return hooks;
+}
+
 HttpResponse KeyedNode::answerAdmin (const HttpRequest& request)
 {
     const auto& reducer = m_node.reducer();
@@ -84,6 +94,7 @@
         traffic.m_platform = m_log.bytes();
         response.m_contentType = "text/plain; version=0.0.4";
         response.m_body = renderMetrics (reducer, m_metrics, traffic);
+        appendResources (response.m_body, *m_resources);
     }
     else if (request.m_target == "/state")
     {
--- a/modules/plankledge_runtime/KeyedNode.h
+++ b/modules/plankledge_runtime/KeyedNode.h
@@ -20,6 +20,7 @@
     Endpoint m_target;
     Endpoint m_platform;
     std::string m_tracePath; /**< empty: no trace is recorded */
+    ProcessLimits m_limits;
 };
 
 //==============================================================================
@@ -49,9 +50,11 @@
 private:
     //==============================================================================
     absl::Status listen();
+    HttpServer::Hooks adminHooks();
     HttpResponse answerAdmin (const HttpRequest& request);
 
     const NodeOptions m_options;
+    const ProcessResourcesPointer m_resources;
     NodeMetrics m_metrics;
     Node m_node;
     CallerEdge m_callers;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -109,6 +109,8 @@
     appendCounters (text, "bad_requests_total", metrics.m_badRequests);
     appendCounters (text, "bad_http_total", metrics.m_badHttp);
     appendCounters (text, "platform_errors_total", metrics.m_platformErrors);
+    appendCounter (text, "calls_not_queued_total", metrics.m_callsNotQueued);
+    appendCounter (text, "peer_calls_refused_total", metrics.m_peerCallsRefused);
     appendCounter (text, "target_broken_total", metrics.m_brokenTargetCalls);
     appendCounter (text, "target_connections_total", metrics.m_targetConnections);
     appendCounter (text, "target_stray_responses_total", metrics.m_strayTargetResponses);
@@ -275,6 +277,20 @@
     return text;
 }
 
+void appendResources (std::string& text, const ProcessResources& resources)
+{
+    const auto& memory = resources.m_memory;
+    text += "# TYPE plankledge_memory_held_bytes gauge\n";
+
+    for (std::size_t use = 0; use < static_cast<std::size_t> (MemoryUse::memoryUseCount); ++use)
+        text +=
+            fmt::format ("plankledge_memory_held_bytes{{use=\"{}\"}} {}\n",
+                         nameOf (static_cast<MemoryUse> (use)), memory.held (static_cast<MemoryUse> (use)));
+
+    appendGauge (text, "memory_budget_bytes", static_cast<double> (memory.limit()));
+    appendCounter (text, "messages_dropped_total", memory.dropped());
+}
+
 //==============================================================================
 std::string renderState (const Reducer& reducer)
 {
--- a/modules/plankledge_runtime/NodeMetrics.h
+++ b/modules/plankledge_runtime/NodeMetrics.h
@@ -4,6 +4,7 @@
 #include "plankledge_policy/Reducer.h"
 #include "plankledge_runtime/CallerHttp.h"
 #include "plankledge_runtime/HttpServer.h"
+#include "plankledge_runtime/ProcessResources.h"
 #include "plankledge_wire/WireError.h"
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
@@ -53,6 +54,8 @@
     Counters::By<CallerError, CallerError::callerErrorCount> m_badRequests;
     Counters::By<HttpServerError, HttpServerError::httpServerErrorCount> m_badHttp;
     Counters::By<PlatformError, PlatformError::platformErrorCount> m_platformErrors;
+    std::uint64_t m_callsNotQueued = 0;   /**< not sent to a peer, since there was no room in its queue */
+    std::uint64_t m_peerCallsRefused = 0; /**< peers' calls for which there was no memory */
     std::uint64_t m_brokenTargetCalls = 0;
     std::uint64_t m_targetConnections = 0; /**< opened to the target, by nodes that serve relayed requests */
     std::uint64_t m_strayTargetResponses = 0; /**< skipped, since they belong to no request in progress */
@@ -77,6 +80,9 @@
 std::string renderRelayMetrics (const Reducer& reducer, const NodeMetrics& metrics,
                                 const ControlTraffic& traffic, Time now);
 
+/** Appends the use of the process's resources, in Prometheus text format. */
+void appendResources (std::string& text, const ProcessResources& resources);
+
 /** @returns the node's state as JSON: members, configuration version, limits, and refusals by reason */
 std::string renderState (const Reducer& reducer);
 
--- a/modules/plankledge_runtime/PeerEdge.cpp
+++ b/modules/plankledge_runtime/PeerEdge.cpp
@@ -3,7 +3,8 @@
 namespace plankledge
 {
 
-PeerEdge::PeerEdge (boost::asio::io_context& context, Node& node, const NodeId& self, NodeMetrics& metrics)
+PeerEdge::PeerEdge (boost::asio::io_context& context, Node& node, const NodeId& self, NodeMetrics& metrics,
+                    ProcessResourcesPointer resources)
     : m_links (context, self,
                { [&node] (LinkId link, const NodeId& from, PeerMessage message) {
                     node.submit (PeerMessageReceived { link, from, std::move (message) });
@@ -11,6 +12,14 @@
                  [&node] (const InstanceName& instance, std::vector<CallId> unsent) {
                      node.submit (PeerUnreachable { instance, std::move (unsent) });
                  },
+                 [&node, &metrics] (const InstanceName& instance, CallId call) {
+                     ++metrics.m_callsNotQueued;
+                     node.submit (CallsNotQueued { instance, { call } });
+                 },
+                 [&node, &metrics] (LinkId link, const NodeId& from, const RelayRequest& request) {
+                     ++metrics.m_peerCallsRefused;
+                     node.submit (PeerCallRefused { link, from, request.m_callId, request.m_route });
+                 },
                  [&node] (const InstanceName& instance) { node.submit (PeerLost { instance }); },
                  [&node] (LinkId link) { node.submit (LinkClosed { link }); },
                  [&node, &metrics] (WireError error) {
@@ -20,7 +29,8 @@
                  },
                  [this, &node] (const InstanceName& to, const PeerMessage& message, std::size_t bytes) {
                      countFrame (node, to, message, bytes);
-                 } })
+                 } },
+               std::move (resources))
     , m_gossip (context,
                 { [&node] (GossipMessage gossip) { node.submit (GossipReceived { std::move (gossip) }); },
                   [&metrics] (WireError error) { ++metrics.m_badDatagrams[error]; } })
--- a/modules/plankledge_runtime/PeerEdge.h
+++ b/modules/plankledge_runtime/PeerEdge.h
@@ -15,7 +15,8 @@
 {
 public:
     //==============================================================================
-    PeerEdge (boost::asio::io_context& context, Node& node, const NodeId& self, NodeMetrics& metrics);
+    PeerEdge (boost::asio::io_context& context, Node& node, const NodeId& self, NodeMetrics& metrics,
+              ProcessResourcesPointer resources = std::make_shared<ProcessResources>());
 
     /** @returns the error if the address cannot be bound */
     absl::Status listen (const Endpoint& endpoint);
--- a/modules/plankledge_runtime/PeerLinks.cpp
+++ b/modules/plankledge_runtime/PeerLinks.cpp
@@ -32,7 +32,15 @@
 
 /** How long a connection waits for its peer to close it too, at the end of this process. */
 constexpr std::chrono::milliseconds lingerTimeout { 500 };
-constexpr std::size_t maxQueuedBytes = 16U << 20U; // if exceeded, the connection is closed
+
+/** Calls and answers are queued up to this size for a peer, in bytes. */
+constexpr std::size_t maxQueuedBytes = 16U << 20U;
+
+/** Control frames are queued up to this size; if it is exceeded, the connection is closed. */
+constexpr std::size_t maxQueuedControlBytes = 2 * maxQueuedBytes;
+
+/** Small frames are joined up to this size, in bytes, so that they take few system calls. */
+constexpr std::size_t maxJoinedBytes = 16U << 10U;
 
 /** TCP_USER_TIMEOUT: detects a peer that is partitioned or has lost power. Longer than pauses of a busy
     process, shorter than callers' timeouts. */
@@ -68,20 +76,75 @@
     socket.set_option (UserTimeout (static_cast<int> (unacknowledgedTimeout.count())), ignored);
 }
 
+/** @returns the answer to the same call without its content, as if it had been lost; nullopt for other
+    messages */
+std::optional<PeerMessage> withoutContent (const PeerMessage& message)
+{
+    if (const auto* answer = std::get_if<RelayAnswer> (&message))
+    {
+        auto shortened = *answer;
+        shortened.m_result = { Outcome::unknown, Reason::queueFull, {}, {} };
+        return shortened;
+    }
+
+    if (const auto* answer = std::get_if<CallAnswer> (&message))
+    {
+        auto shortened = *answer;
+        shortened.m_result = {};
+        shortened.m_result.m_outcome = Outcome::unknown;
+        shortened.m_result.m_reason = Reason::queueFull;
+        return shortened;
+    }
+
+    return std::nullopt;
+}
+
 /** One connection, opened by either side. */
 struct Link
 {
-    explicit Link (asio::io_context& context)
-        : m_socket (context)
-        , m_timer (context)
+    Link (tcp::socket socket, MemoryBudget& memory)
+        : m_socket (std::move (socket))
+        , m_timer (m_socket.get_executor())
+        , m_queueCharge (memory, MemoryUse::peerQueues)
+        , m_incomplete (memory, MemoryUse::incompleteMessages, [this] { close(); })
     {
     }
 
+    std::size_t queuedBytes() const noexcept { return m_queueCharge.bytes(); }
+
+    void enqueue (std::string bytes)
+    {
+        m_queueCharge.resize (queuedBytes() + bytes.size());
+
+        if (! m_queued.empty() && m_queued.back().size() + bytes.size() <= maxJoinedBytes)
+        {
+            m_queued.back() += bytes;
+            return;
+        }
+
+        if (bytes.capacity() - bytes.size() > maxJoinedBytes)
+            bytes.shrink_to_fit();
+
+        m_queued.push_back (std::move (bytes));
+    }
+
+    void close()
+    {
+        m_isClosed = true;
+        m_timer.cancel();
+        boost::system::error_code ignored;
+        m_socket.shutdown (tcp::socket::shutdown_both, ignored);
+        m_socket.close (ignored);
+    }
+
     tcp::socket m_socket;
-    asio::steady_timer m_timer; /**< the connect timeout, then the idle timeout */
-    std::string m_queued;       /**< bytes to write */
-    std::string m_writing;
-    std::vector<CallId> m_unsent; /**< calls queued before the connection is established */
+    asio::steady_timer m_timer;             /**< the connect timeout, then the idle timeout */
+    std::vector<std::string> m_queued;      /**< to write; each holds one or more frames */
+    std::vector<std::string> m_writing;     /**< being written */
+    MemoryCharge m_queueCharge;             /**< for both */
+    DroppableMessage m_incomplete;          /**< the frame being received */
+    std::vector<CallId> m_unsent;           /**< calls queued before the connection is established */
+    std::map<CallId, MemoryCharge> m_calls; /**< the peer's calls that are not answered */
     Endpoint m_endpoint;
     bool m_isConnected = false;
     bool m_isClosed = false;
@@ -94,11 +157,13 @@
 //==============================================================================
 struct PeerLinks::Implementation : std::enable_shared_from_this<PeerLinks::Implementation>
 {
-    Implementation (asio::io_context& context, const NodeId& self, Hooks hooks)
+    Implementation (asio::io_context& context, const NodeId& self, Hooks hooks,
+                    ProcessResourcesPointer resources)
         : m_context (context)
         , m_self (self)
         , m_acceptor (context)
         , m_hooks (std::move (hooks))
+        , m_resources (std::move (resources))
     {
     }
 
@@ -109,28 +174,31 @@
 
         for (;;)
         {
-            auto link = std::make_shared<Link> (m_context);
-            const auto [error] = co_await m_acceptor.async_accept (link->m_socket, asTuple);
+            auto [error, socket] = co_await m_acceptor.async_accept (asTuple);
 
             if (! m_acceptor.is_open())
                 co_return;
 
-            if (error)
-                continue;
-
-            configureSocket (link->m_socket);
-            link->m_isConnected = true;
-            const auto id = m_nextLink++;
-            m_accepted[id] = link;
-            asio::co_spawn (m_context, serveAccepted (id, link), asio::detached);
+            if (! error)
+                onAccepted (std::move (socket));
         }
     }
 
+    void onAccepted (tcp::socket socket)
+    {
+        configureSocket (socket);
+        const auto link = std::make_shared<Link> (std::move (socket), m_resources->m_memory);
+        link->m_isConnected = true;
+        const auto id = m_nextLink++;
+        m_accepted[id] = link;
+        asio::co_spawn (m_context, serveAccepted (id, link), asio::detached);
+    }
+
     asio::awaitable<void> serveAccepted (LinkId id, LinkPointer link)
     {
         const auto self = shared_from_this();
         co_await readFrames (id, link, std::nullopt);
-        close (*link);
+        link->close();
 
         if (m_accepted.erase (id) > 0 && ! m_isShuttingDown)
             m_hooks.m_onLinkClosed (id);
@@ -144,7 +212,7 @@
         if (! co_await connect (*link))
         {
             auto unsent = std::move (link->m_unsent);
-            close (*link);
+            link->close();
             removeOpened (instance, link);
 
             if (! m_isShuttingDown)
@@ -158,7 +226,7 @@
         restartTimer (link, idleTimeout);
         flush (link);
         co_await readFrames (0, link, instance);
-        close (*link);
+        link->close();
 
         if (removeOpened (instance, link) && ! m_isShuttingDown)
             m_hooks.m_onLost (instance);
@@ -175,7 +243,7 @@
         link.m_timer.expires_after (connectTimeout);
         link.m_timer.async_wait ([&link] (const boost::system::error_code& error) {
             if (! error && ! link.m_isConnected)
-                close (link);
+                link.close();
         });
 
         const auto [error] =
@@ -209,7 +277,7 @@
             const auto self = weak.lock();
 
             if (! error && self != nullptr)
-                close (*self);
+                self->close();
         });
     }
 
@@ -241,6 +309,11 @@
             }
 
             buffer.consume (*consumed);
+
+            if (buffer.bytes().empty())
+                link->m_incomplete.reset();
+            else if (! link->m_isClosed && ! link->m_incomplete.grow (buffer.capacity()))
+                co_return;
         }
     }
 
@@ -248,8 +321,7 @@
 
         @returns the number of bytes consumed
     */
-    absl::StatusOr<std::size_t> processFrames (LinkId id, const Link& link,
-                                               const std::optional<InstanceName>& peer,
+    absl::StatusOr<std::size_t> processFrames (LinkId id, Link& link, const std::optional<InstanceName>& peer,
                                                std::string_view bytes)
     {
         std::size_t consumed = 0;
@@ -273,6 +345,7 @@
                 return toStatus (WireError::wrongReceiver);
 
             consumed += frameHeaderBytes + *length;
+            link.m_incomplete.protect();
 
             if (m_isShuttingDown)
                 continue; // can't be answered any more
@@ -280,34 +353,81 @@
             if (isControl (frame->m_message))
                 m_controlBytes += frameHeaderBytes + *length;
 
-            m_hooks.m_onMessage (id, frame->m_from, std::move (frame->m_message));
+            if (mayKeep (id, link, *frame))
+                m_hooks.m_onMessage (id, frame->m_from, std::move (frame->m_message));
         }
 
         return consumed;
     }
 
+    /** Charges a peer's call for its body.
+
+        @returns whether there is room; otherwise the call has been refused
+    */
+    bool mayKeep (LinkId id, Link& link, const Frame& frame)
+    {
+        if (const auto* cancelled = std::get_if<RelayCancel> (&frame.m_message))
+            link.m_calls.erase (cancelled->m_callId);
+
+        const auto* request = std::get_if<RelayRequest> (&frame.m_message);
+
+        if (request == nullptr || request->m_content.m_body.empty())
+            return true;
+
+        const auto bytes = request->m_content.m_body.size();
+        const auto priority =
+            bytes <= smallMessageBytes ? MemoryPriority::smallRequest : MemoryPriority::largeRequest;
+
+        if (! m_resources->m_memory.makeRoom (bytes, priority))
+        {
+            m_hooks.m_onCallRefused (id, frame.m_from, *request);
+            return false;
+        }
+
+        link.m_calls.try_emplace (request->m_callId, m_resources->m_memory, MemoryUse::peerCalls, bytes);
+        return true;
+    }
+
     //==============================================================================
     void write (const LinkPointer& link, const InstanceName& to, const PeerMessage& message)
     {
         if (link->m_isClosed || m_isShuttingDown)
             return;
 
-        const auto bytes = encodeFrame ({ protocolVersion, m_self, to, message });
+        auto bytes = encodeFrame ({ protocolVersion, m_self, to, message });
+
+        if (! hasRoom (*link, message, bytes.size()))
+        {
+            if (const auto call = callIdOf (message))
+                return m_hooks.m_onNotQueued (to, *call);
+
+            if (const auto shortened = withoutContent (message))
+                bytes = encodeFrame ({ protocolVersion, m_self, to, *shortened });
+        }
+
+        if (link->queuedBytes() + bytes.size() > maxQueuedControlBytes)
+            return link->close();
 
         if (isControl (message))
             m_controlBytes += bytes.size();
 
         m_hooks.m_onFrameQueued (to, message, bytes.size());
 
-        if (link->m_queued.size() + bytes.size() > maxQueuedBytes)
-            return close (*link);
+        if (const auto call = callIdOf (message); call.has_value() && ! link->m_isConnected)
+            link->m_unsent.push_back (*call);
 
-        link->m_queued += bytes;
+        link->enqueue (std::move (bytes));
 
         if (link->m_isConnected)
             flush (link);
     }
 
+    bool hasRoom (const Link& link, const PeerMessage& message, std::size_t bytes)
+    {
+        return isControl (message) || (link.queuedBytes() + bytes <= maxQueuedBytes &&
+                                       m_resources->m_memory.makeRoom (bytes, MemoryPriority::begunWork));
+    }
+
     void flush (const LinkPointer& link)
     {
         if (! link->m_writing.empty() || link->m_queued.empty() || link->m_isClosed)
@@ -319,13 +439,19 @@
         }
 
         std::swap (link->m_writing, link->m_queued);
+        std::vector<asio::const_buffer> buffers;
+
+        for (const auto& frame : link->m_writing)
+            buffers.push_back (asio::buffer (frame));
+
         asio::async_write (
-            link->m_socket, asio::buffer (link->m_writing),
-            [weak = weak_from_this(), link] (const boost::system::error_code& error, std::size_t) {
+            link->m_socket, buffers,
+            [weak = weak_from_this(), link] (const boost::system::error_code& error, std::size_t written) {
                 link->m_writing.clear();
+                link->m_queueCharge.resize (error ? 0 : link->queuedBytes() - written);
 
                 if (error)
-                    return close (*link);
+                    return link->close();
 
                 if (const auto self = weak.lock())
                     self->flush (link);
@@ -358,25 +484,17 @@
     static void shutDown (const LinkPointer& link)
     {
         if (! link->m_isConnected)
-            return close (*link);
+            return link->close();
 
         closeSendingIfFlushed (*link);
         restartTimer (link, lingerTimeout);
     }
 
-    static void close (Link& link)
-    {
-        link.m_isClosed = true;
-        link.m_timer.cancel();
-        boost::system::error_code ignored;
-        link.m_socket.shutdown (tcp::socket::shutdown_both, ignored);
-        link.m_socket.close (ignored);
-    }
-
     asio::io_context& m_context;
     const NodeId m_self;
     tcp::acceptor m_acceptor;
     Hooks m_hooks;
+    const ProcessResourcesPointer m_resources;
     std::map<InstanceName, LinkPointer> m_opened;
     std::map<LinkId, LinkPointer> m_accepted;
     LinkId m_nextLink = 1;
@@ -385,8 +503,10 @@
 };
 
 //==============================================================================
-PeerLinks::PeerLinks (asio::io_context& context, const NodeId& self, Hooks hooks)
-    : m_implementation (std::make_shared<Implementation> (context, self, std::move (hooks)))
+PeerLinks::PeerLinks (asio::io_context& context, const NodeId& self, Hooks hooks,
+                      ProcessResourcesPointer resources)
+    : m_implementation (
+          std::make_shared<Implementation> (context, self, std::move (hooks), std::move (resources)))
 {
 }
 
@@ -413,28 +533,23 @@
     auto& link = m_implementation->m_opened[instance];
 
     if (link != nullptr && ! link->m_isClosed && link->m_endpoint != endpoint)
-        Implementation::close (*link);
+        link->close();
 
     if (link == nullptr || link->m_isClosed)
     {
         if (link != nullptr && link->m_isConnected)
             m_implementation->m_hooks.m_onLost (instance);
 
-        link = std::make_shared<Link> (m_implementation->m_context);
+        link = std::make_shared<Link> (tcp::socket (m_implementation->m_context),
+                                       m_implementation->m_resources->m_memory);
+        link->m_incomplete.protect();
         link->m_endpoint = endpoint;
         asio::co_spawn (m_implementation->m_context, m_implementation->runOpened (instance, link),
                         asio::detached);
     }
 
-    if (! link->m_isConnected)
-    {
-        if (const auto call = callIdOf (message))
-            link->m_unsent.push_back (*call);
-    }
-    else
-    {
+    if (link->m_isConnected)
         Implementation::restartTimer (link, idleTimeout);
-    }
 
     m_implementation->write (link, instance, message);
 }
@@ -443,8 +558,13 @@
 {
     const auto found = m_implementation->m_accepted.find (id);
 
-    if (found != m_implementation->m_accepted.end())
-        m_implementation->write (found->second, instance, message);
+    if (found == m_implementation->m_accepted.end())
+        return;
+
+    if (const auto* answer = std::get_if<RelayAnswer> (&message))
+        found->second->m_calls.erase (answer->m_callId);
+
+    m_implementation->write (found->second, instance, message);
 }
 
 void PeerLinks::shutDown()
--- a/modules/plankledge_runtime/PeerLinks.h
+++ b/modules/plankledge_runtime/PeerLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plankledge_core/PeerMessages.h"
+#include "plankledge_runtime/ProcessResources.h"
 #include "plankledge_wire/FrameCodec.h"
 #include <functional>
 #include <memory>
@@ -20,6 +21,9 @@
 
     A frame that is too large, truncated, of another protocol version or for another instance
     closes its connection with a WireError. Other connections are not affected.
+
+    Queues are bounded. A call for which there is no room is not sent, and an answer is replaced by
+    one with an unknown outcome; what was queued before is still sent.
 */
 class PeerLinks
 {
@@ -33,6 +37,12 @@
         /** Connecting failed. Passes the ids of the calls that were queued for it. */
         std::function<void (const InstanceName&, std::vector<CallId> unsent)> m_onUnreachable;
 
+        /** There was no room to queue a call. Nothing of it was sent. */
+        std::function<void (const InstanceName&, CallId)> m_onNotQueued;
+
+        /** There was no room to keep a peer's relayed request, which was not passed to m_onMessage. */
+        std::function<void (LinkId, const NodeId& from, const RelayRequest&)> m_onCallRefused;
+
         /** A connection that this node opened was closed after it had been established. */
         std::function<void (const InstanceName&)> m_onLost;
 
@@ -45,7 +55,8 @@
         std::function<void (const InstanceName&, const PeerMessage&, std::size_t bytes)> m_onFrameQueued;
     };
 
-    PeerLinks (boost::asio::io_context& context, const NodeId& self, Hooks hooks);
+    PeerLinks (boost::asio::io_context& context, const NodeId& self, Hooks hooks,
+               ProcessResourcesPointer resources = std::make_shared<ProcessResources>());
     ~PeerLinks();
 
     /** @returns the error if the address cannot be bound */
--- a/modules/plankledge_runtime/ProgramSettings.cpp
+++ b/modules/plankledge_runtime/ProgramSettings.cpp
@@ -1,5 +1,7 @@
 #include "plankledge_runtime/ProgramSettings.h"
 
+#include <algorithm>
+
 #include <absl/strings/numbers.h>
 #include <algorithm>
 #include <array>
@@ -102,6 +104,18 @@
     return ! m_faults.empty();
 }
 
+//==============================================================================
+ProcessLimits readProcessLimits (SettingsCheck& check, std::int64_t memoryMegabytes)
+{
+    constexpr std::int64_t minMegabytes = 32;
+    constexpr std::int64_t maxMegabytes = 1 << 20;
+    check.inRange ("memory_mb", memoryMegabytes, minMegabytes, maxMegabytes);
+    ProcessLimits limits;
+    limits.m_memoryBytes = static_cast<std::size_t> (std::max (memoryMegabytes, minMegabytes)) << 20U;
+
+    return limits;
+}
+
 //==============================================================================
 Severity parseSeverity (std::string_view name) noexcept
 {
--- a/modules/plankledge_runtime/ProgramSettings.h
+++ b/modules/plankledge_runtime/ProgramSettings.h
@@ -2,6 +2,7 @@
 
 #include "plankledge_core/Identity.h"
 #include "plankledge_core/Logger.h"
+#include "plankledge_runtime/ProcessResources.h"
 #include <optional>
 #include <string>
 #include <vector>
@@ -66,6 +67,12 @@
     std::vector<Fault> m_faults;
 };
 
+/** Reads the limits of this process.
+
+    @param memoryMegabytes   --memory_mb, in units of 2^20 bytes
+*/
+ProcessLimits readProcessLimits (SettingsCheck& check, std::int64_t memoryMegabytes);
+
 /** @returns the severity for a --log_level, or info if the name is unknown */
 Severity parseSeverity (std::string_view name) noexcept;
 
--- a/modules/plankledge_runtime/RelayCallerEdge.cpp
+++ b/modules/plankledge_runtime/RelayCallerEdge.cpp
@@ -1,6 +1,6 @@
 #include "plankledge_runtime/RelayCallerEdge.h"
 
-#include "plankledge_runtime/CallerEdge.h"
+#include "plankledge_runtime/HttpErrorResponses.h"
 
 #include <algorithm>
 
@@ -8,23 +8,25 @@
 {
 
 RelayCallerEdge::RelayCallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics,
-                                  Hooks hooks)
+                                  Hooks hooks, ProcessResourcesPointer resources)
     : m_node (node)
     , m_metrics (metrics)
     , m_hooks (std::move (hooks))
-    , m_server (context, { [this] (HttpRequest request, HttpServer::Respond respond) {
-                              return onRequest (std::move (request), std::move (respond));
-                          },
-                           [this] (HttpServerError error) {
-                               ++m_metrics.m_badHttp[error];
-                               return makeHttpError (error);
-                           },
-                           [] (const HttpRequest& request) { return isSafeMethod (request.m_method); },
-                           [this] (std::size_t requests) {
-                               ++m_metrics.m_requestsReadAhead;
-                               m_metrics.m_maxRequestsOnConnection =
-                                   std::max (m_metrics.m_maxRequestsOnConnection, requests);
-                           } })
+    , m_server (context,
+                { [this] (HttpRequest request, HttpServer::Respond respond) {
+                     return onRequest (std::move (request), std::move (respond));
+                 },
+                  [this, responses = HttpErrorResponses()] (HttpServerError error) mutable {
+                      ++m_metrics.m_badHttp[error];
+                      return responses (error);
+                  },
+                  [] (const HttpRequest& request) { return isSafeMethod (request.m_method); },
+                  [this] (std::size_t requests) {
+                      ++m_metrics.m_requestsReadAhead;
+                      m_metrics.m_maxRequestsOnConnection =
+                          std::max (m_metrics.m_maxRequestsOnConnection, requests);
+                  } },
+                std::move (resources))
 {
 }
 
--- a/modules/plankledge_runtime/RelayCallerEdge.h
+++ b/modules/plankledge_runtime/RelayCallerEdge.h
@@ -25,7 +25,8 @@
         std::function<HttpResponse (const std::string& request, const RelayResult&)> m_encode;
     };
 
-    RelayCallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics, Hooks hooks);
+    RelayCallerEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics, Hooks hooks,
+                     ProcessResourcesPointer resources);
 
     /** @returns the error if the address cannot be bound */
     absl::Status listen (const Endpoint& endpoint) { return m_server.listen (endpoint); }
--- a/modules/plankledge_runtime/RelayTargetEdge.cpp
+++ b/modules/plankledge_runtime/RelayTargetEdge.cpp
@@ -4,13 +4,13 @@
 {
 
 RelayTargetEdge::RelayTargetEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics,
-                                  Hooks hooks)
+                                  Hooks hooks, ProcessResourcesPointer resources)
     : m_node (node)
     , m_metrics (metrics)
     , m_hooks (std::move (hooks))
     , m_client (
           context, [this] (CallId call, TargetClient::Result result) { onDone (call, std::move (result)); },
-          m_hooks.m_idOf)
+          m_hooks.m_idOf, BootClock::now, std::move (resources))
 {
 }
 
--- a/modules/plankledge_runtime/RelayTargetEdge.h
+++ b/modules/plankledge_runtime/RelayTargetEdge.h
@@ -23,7 +23,8 @@
         TargetClient::IdOf m_idOf;
     };
 
-    RelayTargetEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics, Hooks hooks);
+    RelayTargetEdge (boost::asio::io_context& context, Node& node, NodeMetrics& metrics, Hooks hooks,
+                     ProcessResourcesPointer resources);
 
     void execute (const RelayToTarget& effect);
     void execute (const CancelTargetCall& effect) { m_client.cancelRequest (effect.m_call); }
--- a/modules/plankledge_runtime/ResponseOrder.h
+++ b/modules/plankledge_runtime/ResponseOrder.h
@@ -108,6 +108,9 @@
     /** @returns whether nothing remains to be read or written */
     bool isFinished() const noexcept { return ! m_isOpen && m_entries.empty(); }
 
+    /** @returns the bytes of the bodies of unanswered requests and of responses that are not written */
+    std::size_t bodyBytes() const noexcept { return m_bodyBytes; }
+
     /** @returns the number of requests whose response is not written */
     std::size_t size() const noexcept { return m_entries.size(); }
 
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -73,11 +73,13 @@
 //==============================================================================
 struct TargetClient::Implementation : std::enable_shared_from_this<TargetClient::Implementation>
 {
-    Implementation (asio::io_context& context, Done done, IdOf idOf, TimeSource time)
+    Implementation (asio::io_context& context, Done done, IdOf idOf, TimeSource time,
+                    ProcessResourcesPointer resources)
         : m_context (context)
         , m_done (std::move (done))
         , m_idOf (std::move (idOf))
         , m_time (std::move (time))
+        , m_resources (std::move (resources))
     {
     }
 
@@ -89,6 +91,7 @@
             co_return; // cancelled before it started
 
         const auto id = m_idOf ? std::optional<std::string> (m_idOf (request.m_headers)) : std::nullopt;
+        MemoryCharge charge (m_resources->m_memory, MemoryUse::targetCalls, request.m_body.size());
         auto connection = takeIdle (id);
         m_active[call] = connection;
 
@@ -107,7 +110,7 @@
         const bool isHead = message.method() == http::verb::head;
         const auto writer = std::make_shared<detail::RequestWriter> (connection, std::move (message));
         writer->start();
-        auto response = co_await readResponse (connection->stream(), *writer, id, isHead);
+        auto response = co_await readResponse (connection->stream(), *writer, id, isHead, charge);
 
         if (m_active.erase (call) == 0)
             co_return; // cancelled in the meantime
@@ -126,15 +129,21 @@
         m_done (call, std::move (*response));
     }
 
-    /** @param id   of the request; nullopt: requests have none
+    /** @param id       of the request; nullopt: requests have none
+        @param charge   for the request; grows with the response
 
         @returns the complete response to the request, or nullopt if none was received
     */
     asio::awaitable<std::optional<HttpResponse>> readResponse (beast::tcp_stream& stream,
                                                                detail::RequestWriter& writer,
-                                                               std::optional<std::string> id, bool isHead)
+                                                               std::optional<std::string> id, bool isHead,
+                                                               MemoryCharge& charge)
     {
         beast::flat_buffer buffer;
+        const auto requestBytes = charge.bytes();
+        const auto beforeRead = [this, &charge, requestBytes] (const detail::ReadProgress& progress) {
+            return resizeCharge (charge, requestBytes + progress.m_held);
+        };
 
         for (unsigned strayResponses = 0; strayResponses <= maxStrayResponses; ++strayResponses)
         {
@@ -142,7 +151,7 @@
             parser.body_limit (maxBodyBytes);
             parser.skip (isHead);
 
-            if (co_await detail::readMessage (stream, buffer, parser, maxHeaderBytes, nullptr))
+            if (co_await detail::readMessage (stream, buffer, parser, maxHeaderBytes, beforeRead))
                 co_return std::nullopt;
 
             // A response that ends with the stream is incomplete if the connection was reset (RFC 9112,
@@ -169,6 +178,18 @@
         co_return std::nullopt;
     }
 
+    /** @returns an error if there is no room */
+    beast::error_code resizeCharge (MemoryCharge& charge, std::size_t bytes) const
+    {
+        auto& memory = m_resources->m_memory;
+
+        if (bytes > charge.bytes() && ! memory.makeRoom (bytes - charge.bytes(), MemoryPriority::begunWork))
+            return asio::error::no_buffer_space;
+
+        charge.resize (bytes);
+        return {};
+    }
+
     asio::awaitable<Connection> connect (CallId call)
     {
         auto connection = std::make_shared<detail::TargetConnection> (m_context);
@@ -287,6 +308,7 @@
     Done m_done;
     IdOf m_idOf;
     TimeSource m_time;
+    const ProcessResourcesPointer m_resources;
     std::map<CallId, Connection> m_active;
     std::list<IdleConnection> m_idle;
     std::uint64_t m_connectionsOpened = 0;
@@ -294,9 +316,10 @@
 };
 
 //==============================================================================
-TargetClient::TargetClient (asio::io_context& context, Done done, IdOf idOf, TimeSource time)
-    : m_implementation (
-          std::make_shared<Implementation> (context, std::move (done), std::move (idOf), std::move (time)))
+TargetClient::TargetClient (asio::io_context& context, Done done, IdOf idOf, TimeSource time,
+                            ProcessResourcesPointer resources)
+    : m_implementation (std::make_shared<Implementation> (context, std::move (done), std::move (idOf),
+                                                          std::move (time), std::move (resources)))
 {
 }
 
--- a/modules/plankledge_runtime/TargetClient.h
+++ b/modules/plankledge_runtime/TargetClient.h
@@ -3,6 +3,7 @@
 #include "plankledge_core/Identity.h"
 #include "plankledge_policy/Events.h"
 #include "plankledge_runtime/Http.h"
+#include "plankledge_runtime/ProcessResources.h"
 #include <functional>
 #include <memory>
 #include <variant>
@@ -48,9 +49,11 @@
     /** @param idOf   if empty, each response is taken as the one to the preceding request, and bytes after it
                       make the call fail, since responses cannot be matched otherwise
         @param time   the clock by which idle connections expire
+        @param resources   a response for which there is no memory counts as broken
     */
     TargetClient (boost::asio::io_context& context, Done done, IdOf idOf = {},
-                  TimeSource time = BootClock::now);
+                  TimeSource time = BootClock::now,
+                  ProcessResourcesPointer resources = std::make_shared<ProcessResources>());
     ~TargetClient();
 
     /** @param target   the address to send to; idle connections to any other address are closed */
--- a/modules/plankledge_runtime/TargetEdge.cpp
+++ b/modules/plankledge_runtime/TargetEdge.cpp
@@ -27,12 +27,13 @@
 
 //==============================================================================
 TargetEdge::TargetEdge (boost::asio::io_context& context, Node& node, const Endpoint& target,
-                        NodeMetrics& metrics)
+                        NodeMetrics& metrics, ProcessResourcesPointer resources)
     : m_node (node)
     , m_metrics (metrics)
     , m_endpoint (target)
-    , m_client (context,
-                [this] (CallId call, TargetClient::Result result) { onDone (call, std::move (result)); })
+    , m_client (
+          context, [this] (CallId call, TargetClient::Result result) { onDone (call, std::move (result)); },
+          nullptr, BootClock::now, std::move (resources))
     , m_probeClient (context)
     , m_timer (std::make_unique<Timer> (context))
 {
--- a/modules/plankledge_runtime/TargetEdge.h
+++ b/modules/plankledge_runtime/TargetEdge.h
@@ -16,7 +16,8 @@
 {
 public:
     //==============================================================================
-    TargetEdge (boost::asio::io_context& context, Node& node, const Endpoint& target, NodeMetrics& metrics);
+    TargetEdge (boost::asio::io_context& context, Node& node, const Endpoint& target, NodeMetrics& metrics,
+                ProcessResourcesPointer resources);
     ~TargetEdge();
 
     /** Starts probing the target. */
--- a/programs/plankledge-node.cpp
+++ b/programs/plankledge-node.cpp
@@ -27,6 +27,7 @@
 DEFINE_int32 (log_period_ms, 1000, "minimum interval between reads of the log, in milliseconds");
 DEFINE_int32 (checkpoint_period_ms, 60000,
               "minimum interval between checkpoints of the declarations, in milliseconds");
+DEFINE_int32 (memory_mb, 260, "memory of the machine that this process may use, in MiB");
 DEFINE_bool (check_settings, false, "check the settings and exit");
 
 namespace
@@ -62,6 +63,7 @@
     options.m_settings.m_logPeriod = Milliseconds (FLAGS_log_period_ms);
     options.m_settings.m_checkpointPeriod = Milliseconds (FLAGS_checkpoint_period_ms);
     options.m_settings.m_seed = std::random_device()();
+    options.m_limits = readProcessLimits (check, FLAGS_memory_mb);
     return options;
 }
 
@@ -73,7 +75,7 @@
     readFlagsFromEnvironment ({ "instance", "service", "zone", "ip", "caller_port", "peer_port",
                                 "outbound_port", "admin_ip", "admin_port", "target", "platform", "policy",
                                 "log_level", "record_trace", "drain_grace_ms", "list_period_ms",
-                                "log_period_ms", "checkpoint_period_ms" });
+                                "log_period_ms", "checkpoint_period_ms", "memory_mb" });
     gflags::ParseCommandLineFlags (&argc, &argv, true);
 
     SettingsCheck check;
