The configured limits for clients hold, and unfinished requests end

What callers saw: a request that stopped, or of which a byte came now and then, kept its connection, and the memory for what had arrived, for 120 s or for ever; the configuration's limits for clients were not read.

Cause: one timeout of 120 s between two reads, restarted by each byte.

Change: RouteTable carries ClientLimits, which the outbound, control, readiness and metrics ports ask for with each request: size of the header section and of the body (1 MiB at most, as before), the time from the first byte of a header section to its end, the time that a connection may rest. A body has to make progress within that time and to arrive at 1 KB/s on average. Before a configuration is known, 30 s and 120 s hold. A request that takes longer is closed without an answer: it was not read, so that its client may repeat it.

--- a/modules/plankledge_policy/relay/routes/RouteTable.cpp
+++ b/modules/plankledge_policy/relay/routes/RouteTable.cpp
@@ -19,10 +19,12 @@
 
 } // namespace
 
-RouteTable::RouteTable (ConfigurationVersion version, Hosts hosts, Organisations organisations)
+RouteTable::RouteTable (ConfigurationVersion version, Hosts hosts, Organisations organisations,
+                        ClientLimits limits)
     : m_version (version)
     , m_hosts (std::move (hosts))
     , m_organisations (std::move (organisations))
+    , m_clientLimits (limits)
 {
     for (const auto& [host, routes] : m_hosts)
     {
--- a/modules/plankledge_policy/relay/routes/RouteTable.h
+++ b/modules/plankledge_policy/relay/routes/RouteTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plankledge_core/ClientLimits.h"
 #include "plankledge_core/Declarations.h"
 #include "plankledge_core/RelayMessages.h"
 #include "plankledge_policy/relay/access/Organisations.h"
@@ -50,7 +51,8 @@
 
     RouteTable() = default;
 
-    RouteTable (ConfigurationVersion version, Hosts hosts, Organisations organisations = {});
+    RouteTable (ConfigurationVersion version, Hosts hosts, Organisations organisations = {},
+                ClientLimits limits = {});
 
     ConfigurationVersion version() const noexcept { return m_version; }
 
@@ -65,6 +67,8 @@
 
     const Organisations& organisations() const noexcept { return m_organisations; }
 
+    const ClientLimits& clientLimits() const noexcept { return m_clientLimits; }
+
     /** Computes the priority that a request is ranked by.
 
         If organisations are declared, the organisation's priority comes first and the route's
@@ -93,6 +97,7 @@
 
     Hosts m_hosts;
     Organisations m_organisations;
+    ClientLimits m_clientLimits;
     std::vector<std::uint32_t> m_priorities; /**< in use, sorted */
     std::vector<ServiceName> m_services;     /**< in use, sorted */
 };
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -34,13 +34,15 @@
 {
 
 constexpr auto asTuple = asio::as_tuple (asio::use_awaitable);
-constexpr std::chrono::seconds idleTimeout { 120 };
 constexpr std::chrono::seconds writeTimeout { 30 };
 constexpr std::chrono::seconds discardTimeout { 2 };
 
 /** How long an idle connection that was closed waits for its client to close as well. Clients that keep
     connections in a pool may notice the end only at their next request. */
 constexpr std::chrono::milliseconds idleDiscardTimeout { 200 };
+
+/** A body that arrives more slowly on average, over the idle timeout and longer, is given up. */
+constexpr std::size_t minBodyBytesPerSecond = 1U << 10U;
 constexpr std::size_t maxDiscardedBytes = 8U << 20U;
 
 /** Bounds for connections on which requests may run at the same time. Eight hide the durations of several
@@ -161,6 +163,8 @@
 
     MemoryBudget& memory() const noexcept { return m_resources->m_memory; }
 
+    ClientLimits clientLimits() const { return m_hooks.m_limits ? m_hooks.m_limits() : ClientLimits(); }
+
     HttpServer::Hooks m_hooks;
     const ProcessResourcesPointer m_resources;
     bool m_closesAfterResponses = false;
@@ -177,6 +181,15 @@
     std::function<void()> m_onDisconnect;
 };
 
+/** Times of the request being read. */
+struct ReadState
+{
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    std::optional<TimePoint> m_headerDeadline; /**< nullopt until its first byte has arrived */
+    std::optional<TimePoint> m_bodySince;      /**< nullopt until its header is complete */
+};
+
 //==============================================================================
 /** One connection: a coroutine reads its requests, while responses are written as they become ready. */
 class Connection : public std::enable_shared_from_this<Connection>
@@ -254,11 +267,13 @@
     asio::awaitable<void> readRequest()
     {
         auto& parser = m_parser.emplace();
-        parser.body_limit (maxBodyBytes);
+        const auto limits = m_service->clientLimits();
+        parser.body_limit (std::min (limits.m_bodyBytes, maxBodyBytes));
         m_hasReadAhead = m_hasReadAhead || m_order.size() > 0;
         m_isReading = true;
+        m_readState = {};
         const auto error = co_await detail::readMessage (
-            m_stream, m_buffer, parser, maxHeaderBytes,
+            m_stream, m_buffer, parser, limits.m_headerBytes,
             [this] (const detail::ReadProgress& progress) { return beforeRead (progress); });
         m_isReading = false;
         m_hasBytes = false;
@@ -287,7 +302,7 @@
             accept (std::move (message));
     }
 
-    /** @returns an error if there is no room for what has been received */
+    /** @returns an error if there is no room for what has been received, or if it arrives too slowly */
     beast::error_code beforeRead (const detail::ReadProgress& progress)
     {
         const bool isOrdinary = progress.m_held <= detail::headerReadSize;
@@ -295,8 +310,40 @@
         if (m_isDropped || (! isOrdinary && ! m_incomplete.grow (progress.m_held)))
             return asio::error::no_buffer_space;
 
-        m_stream.expires_after (idleTimeout);
-        return {};
+        return limitTime (progress) ? beast::error_code() : beast::error_code (asio::error::timed_out);
+    }
+
+    /** Sets the time limit of the next read.
+
+        @returns whether the body has arrived fast enough so far
+    */
+    bool limitTime (const detail::ReadProgress& progress)
+    {
+        const auto limits = m_service->clientLimits();
+        const auto now = std::chrono::steady_clock::now();
+        auto& state = m_readState;
+
+        if (! progress.m_hasBegun)
+        {
+            m_stream.expires_after (limits.m_idleTimeout);
+            return true;
+        }
+
+        if (! progress.m_isHeaderDone)
+        {
+            if (! state.m_headerDeadline.has_value())
+                state.m_headerDeadline = now + limits.m_headerTimeout;
+
+            m_stream.expires_at (*state.m_headerDeadline);
+            return true;
+        }
+
+        if (! state.m_bodySince.has_value())
+            state.m_bodySince = now;
+
+        m_stream.expires_after (limits.m_idleTimeout);
+        const std::chrono::seconds allowance (progress.m_received / minBodyBytesPerSecond);
+        return now - *state.m_bodySince <= limits.m_idleTimeout + allowance;
     }
 
     /** Gives up the request that is being read in favour of others. */
@@ -502,6 +549,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<detail::IncrementalBody>> m_parser; /**< of the request being read */
+    ReadState m_readState;
     asio::steady_timer m_changed; /**< cancelled to wake the coroutine that reads */
     ResponseOrder m_order;
     DroppableMessage m_incomplete; /**< the request being read */
--- a/modules/plankledge_runtime/HttpServer.h
+++ b/modules/plankledge_runtime/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plankledge_core/ClientLimits.h"
 #include "plankledge_core/Identity.h"
 #include "plankledge_runtime/Http.h"
 #include "plankledge_runtime/ProcessResources.h"
@@ -68,6 +69,9 @@
             number of these and itself. May be empty. */
         std::function<void (std::size_t)> m_onReadAhead = nullptr;
 
+        /** @returns the limits for clients at present; if empty, the defaults hold */
+        std::function<ClientLimits()> m_limits = nullptr;
+
         /** The claim of small requests to memory. */
         MemoryPriority m_smallPriority = MemoryPriority::smallRequest;
     };
--- a/modules/plankledge_runtime/RelayCallerEdge.cpp
+++ b/modules/plankledge_runtime/RelayCallerEdge.cpp
@@ -25,7 +25,8 @@
                       ++m_metrics.m_requestsReadAhead;
                       m_metrics.m_maxRequestsOnConnection =
                           std::max (m_metrics.m_maxRequestsOnConnection, requests);
-                  } },
+                  },
+                  [this] { return m_node.reducer().relay().routes().table().clientLimits(); } },
                 std::move (resources))
 {
 }
--- a/tests/platform/RoutesJson_test.cpp
+++ b/tests/platform/RoutesJson_test.cpp
@@ -56,6 +56,25 @@
     CHECK (table->shedRankOfPriority (2) == doctest::Approx (0.5));
 }
 
+TEST_CASE ("limits for clients are read, and those that can't be read have their defaults")
+{
+    const auto limitsOf = [] (const std::string& limits) {
+        const auto table =
+            parseRoutes (fmt::format (R"({{"version":"r1","limits":{},"listeners":[]}})", limits));
+        REQUIRE (table.ok());
+        return table->clientLimits();
+    };
+    const ClientLimits defaults;
+    CHECK (limitsOf (
+               R"({"maxHeaderBytes":8192,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":1.5})") ==
+           ClientLimits { 8192, 67108864, std::chrono::seconds (3), std::chrono::milliseconds (1500) });
+    CHECK (limitsOf ("{}") == defaults);
+    CHECK (limitsOf ("7") == defaults);
+    CHECK (limitsOf (R"({"maxHeaderBytes":0,"maxBodyBytes":-5,"headerTimeoutS":0,"idleTimeoutS":"x"})") ==
+           defaults);
+    CHECK (parseRoutes (configuration (splitRule))->clientLimits() == defaults);
+}
+
 TEST_CASE ("an invalid configuration is rejected as a whole")
 {
     const std::string bad[] = { "",
--- a/tests/untrusted/Crowd.cpp
+++ b/tests/untrusted/Crowd.cpp
@@ -51,6 +51,17 @@
         member->m_socket.close (ignored);
 }
 
+void Crowd::reset()
+{
+    boost::system::error_code ignored;
+
+    for (const auto& member : m_members)
+    {
+        member->m_socket.set_option (asio::socket_base::linger (true, 0), ignored);
+        member->m_socket.close (ignored);
+    }
+}
+
 bool Crowd::isSettled() const noexcept
 {
     return std::all_of (m_members.begin(), m_members.end(),
--- a/tests/untrusted/Crowd.h
+++ b/tests/untrusted/Crowd.h
@@ -40,6 +40,9 @@
     Crowd (const Crowd&) = delete;
     Crowd& operator= (const Crowd&) = delete;
 
+    /** Resets all connections. */
+    void reset();
+
     /** @returns whether each connection has sent everything or was closed by the server */
     bool isSettled() const noexcept;
 
--- a/tests/untrusted/CrowdScenario.cpp
+++ b/tests/untrusted/CrowdScenario.cpp
@@ -138,16 +138,31 @@
 
 void CrowdScenario::checkMachines()
 {
-    for (auto* node : { m_entry.get(), m_gate.get() })
-    {
-        INFO (node->options().m_instance, ": ", node->peakMemoryBytes(), " bytes, ", node->peakDescriptors(),
-              " descriptors");
-        MESSAGE (node->options().m_instance, ": ", node->peakMemoryBytes(), " bytes, ",
-                 node->peakDescriptors(), " descriptors");
-        CHECK (node->isRunning());
-        CHECK (node->peakMemoryBytes() <= m_limits.memoryBytes());
-        CHECK (node->peakDescriptors() < m_limits.m_descriptors);
-    }
+    checkMachine (*m_entry);
+    checkMachine (*m_gate);
+}
+
+void CrowdScenario::checkMachine (NodeProcess& node) const
+{
+    INFO (node.options().m_instance);
+    MESSAGE (node.options().m_instance, ": ", node.peakMemoryBytes(), " bytes, ", node.peakDescriptors(),
+             " descriptors");
+    CHECK (node.isRunning());
+    CHECK (node.peakMemoryBytes() <= m_limits.memoryBytes());
+    CHECK (node.peakDescriptors() < m_limits.m_descriptors);
+}
+
+void CrowdScenario::restart (NodeProcess& node, bool isPlanned)
+{
+    checkMachine (node);
+
+    if (isPlanned)
+        node.stop();
+
+    auto& process = &node == m_entry.get() ? m_entry : m_gate;
+    const auto options = node.options();
+    process.reset(); // its addresses are free only then
+    process = std::make_unique<NodeProcess> (options);
 }
 
 HttpRequest CrowdScenario::makeRequest (const std::string& path)
--- a/tests/untrusted/CrowdScenario.h
+++ b/tests/untrusted/CrowdScenario.h
@@ -67,6 +67,12 @@
     /** @returns whether an ordinary request at the node is answered */
     bool isServing (const NodeProcess& node);
 
+    /** Checks the machine of one of the nodes, and starts its process anew.
+
+        @param isPlanned   whether the process is asked to stop; otherwise it is killed
+    */
+    void restart (NodeProcess& node, bool isPlanned);
+
     /** Checks that both processes run within the limits of their machines. */
     void checkMachines();
 
@@ -78,6 +84,8 @@
 
 private:
     //==============================================================================
+    void checkMachine (NodeProcess& node) const;
+
     const MachineLimits m_limits;
     boost::asio::io_context m_context { 1 };
     StoreStandin m_store;
--- a/tests/untrusted/NodeProcess.cpp
+++ b/tests/untrusted/NodeProcess.cpp
@@ -111,6 +111,16 @@
     ::waitpid (m_process, nullptr, 0);
 }
 
+void NodeProcess::stop()
+{
+    if (m_process <= 0)
+        return;
+
+    ::kill (m_process, SIGTERM);
+    ::waitpid (m_process, nullptr, 0);
+    m_process = 0;
+}
+
 bool NodeProcess::isRunning()
 {
     if (m_process > 0 && ::waitpid (m_process, nullptr, WNOHANG) == m_process)
--- a/tests/untrusted/UntrustedClients_test.cpp
+++ b/tests/untrusted/UntrustedClients_test.cpp
@@ -2,10 +2,9 @@
     ends, memory and descriptors stay below the machine's, and ordinary requests are answered while the crowd
     is connected and after it has left. */
 
-#include "plankledge_wire/FrameCodec.h"
 #include "untrusted/CrowdScenario.h"
+#include "untrusted/CrowdShapes.h"
 
-#include <cstring>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <optional>
@@ -22,43 +21,10 @@
 /** Connections of a crowd that sends without end. */
 constexpr std::size_t endlessCrowdSize = 12;
 
-/** What each of them sends at most, in bytes; one alone takes a quarter of the machine's memory. */
-constexpr std::size_t endlessBytes = 16U << 20U;
-
 /** Descriptors of a small machine, and a crowd that has more connections. */
 constexpr std::size_t fewDescriptors = 150;
 constexpr std::size_t idleCrowdSize = 300;
 
-constexpr std::size_t largeChunk = 64U << 10U;
-constexpr std::size_t tinyChunk = 16;
-
-std::string chunk (std::size_t size)
-{
-    return fmt::format ("{:x}\r\n{}\r\n", size, std::string (size, 'c'));
-}
-
-std::string chunkedHead (const std::string& method = "POST", const std::string& path = "/read/x")
-{
-    return CrowdScenario::makeHead (method, path) + "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string headWithLength (std::size_t length)
-{
-    return CrowdScenario::makeHead ("POST", "/read/x") + fmt::format ("Content-Length: {}\r\n\r\n", length);
-}
-
-CrowdShape endlessTrailers (const std::string& head)
-{
-    const std::string field = "X-Field: " + std::string (1000, 'x') + "\r\n";
-    return { head + chunk (4) + "0\r\n", field, endlessBytes / field.size(), {} };
-}
-
-/** A body in chunks that stops before its last chunk. */
-CrowdShape unfinishedChunks (const std::string& head, std::size_t chunkSize)
-{
-    return { head, chunk (chunkSize), CrowdScenario::maxBody / chunkSize - 1, {} };
-}
-
 /** Checks the machines and ordinary requests at both nodes, beside the crowd and after it has left. */
 void checkServing (CrowdScenario& scenario, std::unique_ptr<Crowd> crowd)
 {
@@ -94,9 +60,7 @@
 TEST_CASE ("chunk extensions without end")
 {
     CrowdScenario scenario;
-    const std::string piece (1000, 'e');
-    checkCrowd (scenario.entry().outbound(), scenario, endlessCrowdSize,
-                { chunkedHead() + "4;x=", piece, endlessBytes / piece.size(), {} });
+    checkCrowd (scenario.entry().outbound(), scenario, endlessCrowdSize, endlessExtension (chunkedHead()));
 }
 
 // Guards against extensions that are each within a bound but without one on their sum.
@@ -142,10 +106,7 @@
 TEST_CASE ("bodies with a length that stop before their last byte")
 {
     CrowdScenario scenario;
-    const std::string piece (largeChunk, 'b');
-    checkCrowd (scenario.entry().outbound(), scenario, crowdSize,
-                { headWithLength (CrowdScenario::maxBody), piece, CrowdScenario::maxBody / largeChunk - 1,
-                  std::string (largeChunk - 1, 'b') });
+    checkCrowd (scenario.entry().outbound(), scenario, crowdSize, bodyWithLength (1));
 }
 
 TEST_CASE ("bodies in large chunks that stop before their end")
@@ -165,9 +126,7 @@
 TEST_CASE ("whole bodies inside the limits at once")
 {
     CrowdScenario scenario;
-    const std::string piece (largeChunk, 'b');
-    checkCrowd (scenario.entry().outbound(), scenario, crowdSize,
-                { headWithLength (CrowdScenario::maxBody), piece, CrowdScenario::maxBody / largeChunk, {} });
+    checkCrowd (scenario.entry().outbound(), scenario, crowdSize, bodyWithLength (0));
 }
 
 // Guards against a link that is closed when its queue is full, which ends all calls on it.
@@ -182,10 +141,7 @@
     scenario.request (scenario.entry().outbound(), call, [&status] (int answer) { status = answer; });
     REQUIRE (scenario.runUntil ([&] { return scenario.target().requests() > requestsBefore; },
                                 std::chrono::seconds (5)));
-    const std::string piece (largeChunk, 'b');
-    auto crowd = scenario.send (
-        scenario.entry().outbound(), crowdSize,
-        { headWithLength (CrowdScenario::maxBody), piece, CrowdScenario::maxBody / largeChunk, {} });
+    auto crowd = scenario.send (scenario.entry().outbound(), crowdSize, bodyWithLength (0));
     scenario.runUntil ([&] { return status.has_value(); }, std::chrono::seconds (10));
     CHECK (status == 200);
     CHECK (scenario.entry().log().find ("\"connection lost\"") == std::string::npos);
@@ -225,11 +181,7 @@
 TEST_CASE ("unfinished frames at the port for nodes")
 {
     CrowdScenario scenario;
-    std::string head (frameHeaderBytes, '\0');
-    std::memcpy (head.data(), &maxFrameBytes, sizeof (maxFrameBytes));
-    const std::string piece (largeChunk, 'f');
-    checkCrowd (scenario.entry().peers(), scenario, crowdSize,
-                { head, piece, maxFrameBytes / piece.size() - 1, {} });
+    checkCrowd (scenario.entry().peers(), scenario, crowdSize, unfinishedFrame());
 }
 
 //==============================================================================
@@ -248,6 +200,24 @@
                 { CrowdScenario::makeHead ("GET", "/read/large") + "\r\n", {}, 0, {}, false });
 }
 
+//==============================================================================
+// Guards against ports where the configured times are not in force.
+TEST_CASE ("unfinished headers are closed after the configured time")
+{
+    CrowdScenario scenario;
+    auto& entry = scenario.entry();
+
+    for (const auto& port : { entry.outbound(), entry.control(), entry.ready(), entry.metrics() })
+    {
+        CAPTURE (port.m_port);
+        const auto crowd =
+            scenario.send (port, 10, { CrowdScenario::makeHead ("POST", "/read/x"), {}, 0, {} });
+        CHECK (scenario.runUntil ([&crowd] { return crowd->closed() == 10; }, std::chrono::seconds (20)));
+    }
+
+    scenario.checkMachines();
+}
+
 //==============================================================================
 // Guards against a node without descriptors for its peers, its target and ordinary callers, and against a
 // loop of accepts that fail.
