Idle connections do not keep ordinary callers out

What callers saw: with 300 connections that did nothing, or had sent half a header, and 150 descriptors, nobody else was answered while they stayed (84 s in the tests); the node had no descriptors for its peers, its target and the store, and its accept loops took a whole core.

Cause: nothing bounded the accepted connections below the process's descriptors, and a failed accept was repeated at once.

Change: ConnectionBudget gives accepted connections, of all ports, three quarters of the descriptors (--max_descriptors, and the process's own limit). At the limit the connection that has been idle for longest is closed in favour of a new one: one without a request in progress, or a link that has not carried a valid frame. Connections with a request, and links of peers, are never closed for it. acceptConnections(), now the only accept loop, waits 50 ms after an error.

Evidence, alone, one run each: before, untrusted_idle_connections, _unfinished_headers, _idle_control_connections and _idle_node_connections reached 150 descriptors and ordinary requests got no answer; now at most 128 or 129 and all are answered, beside the crowd and after it.

--- a/modules/plankledge_runtime/Acceptor.cpp
+++ b/modules/plankledge_runtime/Acceptor.cpp
@@ -1,11 +1,24 @@
 #include "plankledge_runtime/Acceptor.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+
 namespace plankledge
 {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace
+{
+
+constexpr auto asTuple = asio::as_tuple (asio::use_awaitable);
+constexpr std::chrono::milliseconds pauseAfterError { 50 };
+
+} // namespace
+
 absl::Status openAcceptor (tcp::acceptor& acceptor, const Endpoint& endpoint)
 {
     boost::system::error_code error;
@@ -26,4 +39,26 @@
     return error ? absl::UnavailableError (error.message()) : absl::OkStatus();
 }
 
+asio::awaitable<void> acceptConnections (tcp::acceptor& acceptor, ConnectionBudget& connections,
+                                         std::function<void (tcp::socket)> onAccepted)
+{
+    while (acceptor.is_open())
+    {
+        auto [error, socket] = co_await acceptor.async_accept (asTuple);
+
+        if (error == asio::error::operation_aborted || ! acceptor.is_open())
+            co_return;
+
+        if (error)
+        {
+            asio::steady_timer pause (acceptor.get_executor(), pauseAfterError);
+            co_await pause.async_wait (asTuple);
+        }
+        else if (connections.makeRoom())
+        {
+            onAccepted (std::move (socket));
+        }
+    }
+}
+
 } // namespace plankledge
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -204,6 +204,7 @@
         , m_incomplete (m_service->memory(), MemoryUse::incompleteMessages, [this] { dropRequest(); })
         , m_unread (m_service->memory(), MemoryUse::unreadResponses, [this] { m_stream.close(); })
         , m_charge (m_service->memory(), MemoryUse::requests)
+        , m_accepted (m_service->m_resources->m_connections, [this] { m_stream.close(); })
     {
         m_changed.expires_at (asio::steady_timer::time_point::max());
         m_service->m_connections.insert (this);
@@ -310,6 +311,9 @@
         if (m_isDropped || (! isOrdinary && ! m_incomplete.grow (progress.m_held)))
             return asio::error::no_buffer_space;
 
+        if (m_order.size() == 0)
+            m_accepted.setIdle();
+
         return limitTime (progress) ? beast::error_code() : beast::error_code (asio::error::timed_out);
     }
 
@@ -374,6 +378,7 @@
         const auto id = m_order.accept (hooks.m_mayRunAhead && hooks.m_mayRunAhead (request), isLast,
                                         request.m_body.size());
         m_exchanges[id] = { std::move (request), version, isHead, {} };
+        m_accepted.setBusy();
         updateCharge();
 
         if (m_order.size() > 1 && hooks.m_onReadAhead)
@@ -452,6 +457,9 @@
         if (error)
             cancel (m_order.disconnect());
 
+        if (m_order.size() == 0)
+            m_accepted.setIdle();
+
         updateCharge();
         startRequests();
         writeNext();
@@ -555,6 +563,7 @@
     DroppableMessage m_incomplete; /**< the request being read */
     DroppableMessage m_unread;     /**< the response being written, if it is large */
     MemoryCharge m_charge;         /**< for other requests and responses */
+    AcceptedConnection m_accepted;
     std::map<ResponseOrder::Id, Exchange> m_exchanges;
     http::response<http::string_body> m_message; /**< being written */
     bool m_isReading = false;
@@ -588,23 +597,15 @@
     asio::awaitable<void> acceptLoop()
     {
         const auto self = shared_from_this();
-
-        while (m_acceptor.is_open())
-        {
-            auto [error, socket] = co_await m_acceptor.async_accept (asTuple);
-
-            if (error == asio::error::operation_aborted || ! m_acceptor.is_open())
-                co_return;
-
-            if (error)
-                continue;
-
-            boost::system::error_code ignored;
-            socket.set_option (tcp::no_delay (true), ignored);
-            asio::co_spawn (m_context,
-                            Connection::serve (std::make_shared<Connection> (m_service, std::move (socket))),
-                            asio::detached);
-        }
+        co_await acceptConnections (
+            m_acceptor, m_service->m_resources->m_connections, [this] (tcp::socket socket) {
+                boost::system::error_code ignored;
+                socket.set_option (tcp::no_delay (true), ignored);
+                asio::co_spawn (
+                    m_context,
+                    Connection::serve (std::make_shared<Connection> (m_service, std::move (socket))),
+                    asio::detached);
+            });
     }
 
     asio::io_context& m_context;
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -280,6 +280,7 @@
 void appendResources (std::string& text, const ProcessResources& resources)
 {
     const auto& memory = resources.m_memory;
+    const auto& connections = resources.m_connections;
     text += "# TYPE plankledge_memory_held_bytes gauge\n";
 
     for (std::size_t use = 0; use < static_cast<std::size_t> (MemoryUse::memoryUseCount); ++use)
@@ -289,6 +290,10 @@
 
     appendGauge (text, "memory_budget_bytes", static_cast<double> (memory.limit()));
     appendCounter (text, "messages_dropped_total", memory.dropped());
+    appendGauge (text, "connections_accepted", static_cast<double> (connections.size()));
+    appendGauge (text, "connections_limit", static_cast<double> (connections.limit()));
+    appendCounter (text, "idle_connections_closed_total", connections.closed());
+    appendCounter (text, "connections_refused_total", connections.refused());
 }
 
 //==============================================================================
--- a/modules/plankledge_runtime/PeerLinks.cpp
+++ b/modules/plankledge_runtime/PeerLinks.cpp
@@ -145,6 +145,7 @@
     DroppableMessage m_incomplete;          /**< the frame being received */
     std::vector<CallId> m_unsent;           /**< calls queued before the connection is established */
     std::map<CallId, MemoryCharge> m_calls; /**< the peer's calls that are not answered */
+    std::optional<AcceptedConnection> m_accepted;
     Endpoint m_endpoint;
     bool m_isConnected = false;
     bool m_isClosed = false;
@@ -171,23 +172,16 @@
     asio::awaitable<void> acceptLoop()
     {
         const auto self = shared_from_this();
-
-        for (;;)
-        {
-            auto [error, socket] = co_await m_acceptor.async_accept (asTuple);
-
-            if (! m_acceptor.is_open())
-                co_return;
-
-            if (! error)
-                onAccepted (std::move (socket));
-        }
+        co_await acceptConnections (m_acceptor, m_resources->m_connections,
+                                    [this] (tcp::socket socket) { onAccepted (std::move (socket)); });
     }
 
     void onAccepted (tcp::socket socket)
     {
         configureSocket (socket);
         const auto link = std::make_shared<Link> (std::move (socket), m_resources->m_memory);
+        link->m_accepted.emplace (m_resources->m_connections, [link = link.get()] { link->close(); });
+        link->m_accepted->setIdle();
         link->m_isConnected = true;
         const auto id = m_nextLink++;
         m_accepted[id] = link;
@@ -347,6 +341,9 @@
             consumed += frameHeaderBytes + *length;
             link.m_incomplete.protect();
 
+            if (link.m_accepted.has_value())
+                link.m_accepted->setBusy();
+
             if (m_isShuttingDown)
                 continue; // can't be answered any more
 
--- a/modules/plankledge_runtime/PeerLinks.h
+++ b/modules/plankledge_runtime/PeerLinks.h
@@ -23,7 +23,8 @@
     closes its connection with a WireError. Other connections are not affected.
 
     Queues are bounded. A call for which there is no room is not sent, and an answer is replaced by
-    one with an unknown outcome; what was queued before is still sent.
+    one with an unknown outcome; what was queued before is still sent. A connection that has not
+    carried a valid frame may be closed in favour of others.
 */
 class PeerLinks
 {
--- a/modules/plankledge_runtime/ProcessResources.h
+++ b/modules/plankledge_runtime/ProcessResources.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plankledge_runtime/ConnectionBudget.h"
 #include "plankledge_runtime/MemoryBudget.h"
 
 #include <memory>
@@ -12,6 +13,7 @@
 struct ProcessLimits
 {
     std::size_t m_memoryBytes = std::numeric_limits<std::size_t>::max();
+    std::size_t m_descriptors = std::numeric_limits<std::size_t>::max();
 
     auto operator<=> (const ProcessLimits&) const = default;
 };
@@ -23,6 +25,7 @@
     explicit ProcessResources (const ProcessLimits& limits = {});
 
     MemoryBudget m_memory;
+    ConnectionBudget m_connections;
 };
 
 using ProcessResourcesPointer = std::shared_ptr<ProcessResources>;
--- a/modules/plankledge_runtime/ProgramSettings.cpp
+++ b/modules/plankledge_runtime/ProgramSettings.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/ProgramSettings.h"
 
 #include <algorithm>
+#include <sys/resource.h>
 
 #include <absl/strings/numbers.h>
 #include <algorithm>
@@ -105,14 +106,28 @@
 }
 
 //==============================================================================
-ProcessLimits readProcessLimits (SettingsCheck& check, std::int64_t memoryMegabytes)
+ProcessLimits readProcessLimits (SettingsCheck& check, std::int64_t memoryMegabytes, std::int64_t descriptors)
 {
     constexpr std::int64_t minMegabytes = 32;
     constexpr std::int64_t maxMegabytes = 1 << 20;
+    constexpr std::int64_t minDescriptors = 64;
+    constexpr std::int64_t maxDescriptors = 1 << 20;
     check.inRange ("memory_mb", memoryMegabytes, minMegabytes, maxMegabytes);
+
+    if (descriptors != 0)
+        check.inRange ("max_descriptors", descriptors, minDescriptors, maxDescriptors);
+
     ProcessLimits limits;
     limits.m_memoryBytes = static_cast<std::size_t> (std::max (memoryMegabytes, minMegabytes)) << 20U;
 
+    if (descriptors > 0)
+        limits.m_descriptors = static_cast<std::size_t> (descriptors);
+
+    rlimit own {};
+
+    if (::getrlimit (RLIMIT_NOFILE, &own) == 0 && own.rlim_cur != RLIM_INFINITY)
+        limits.m_descriptors = std::min<std::size_t> (limits.m_descriptors, own.rlim_cur);
+
     return limits;
 }
 
--- a/modules/plankledge_runtime/ProgramSettings.h
+++ b/modules/plankledge_runtime/ProgramSettings.h
@@ -70,8 +70,10 @@
 /** Reads the limits of this process.
 
     @param memoryMegabytes   --memory_mb, in units of 2^20 bytes
+    @param descriptors       --max_descriptors; 0: the process's own limit, which applies in any case
 */
-ProcessLimits readProcessLimits (SettingsCheck& check, std::int64_t memoryMegabytes);
+ProcessLimits readProcessLimits (SettingsCheck& check, std::int64_t memoryMegabytes,
+                                 std::int64_t descriptors);
 
 /** @returns the severity for a --log_level, or info if the name is unknown */
 Severity parseSeverity (std::string_view name) noexcept;
--- a/programs/plankledge-node.cpp
+++ b/programs/plankledge-node.cpp
@@ -28,6 +28,7 @@
 DEFINE_int32 (checkpoint_period_ms, 60000,
               "minimum interval between checkpoints of the declarations, in milliseconds");
 DEFINE_int32 (memory_mb, 260, "memory of the machine that this process may use, in MiB");
+DEFINE_int32 (max_descriptors, 0, "descriptors that this process may open; 0: its own limit (ulimit -n)");
 DEFINE_bool (check_settings, false, "check the settings and exit");
 
 namespace
@@ -63,7 +64,7 @@
     options.m_settings.m_logPeriod = Milliseconds (FLAGS_log_period_ms);
     options.m_settings.m_checkpointPeriod = Milliseconds (FLAGS_checkpoint_period_ms);
     options.m_settings.m_seed = std::random_device()();
-    options.m_limits = readProcessLimits (check, FLAGS_memory_mb);
+    options.m_limits = readProcessLimits (check, FLAGS_memory_mb, FLAGS_max_descriptors);
     return options;
 }
 
@@ -72,10 +73,16 @@
 int main (int argc, char** argv)
 {
     gflags::SetUsageMessage ("runs beside one target; see docs/OPERATIONS.md");
-    readFlagsFromEnvironment ({ "instance", "service", "zone", "ip", "caller_port", "peer_port",
-                                "outbound_port", "admin_ip", "admin_port", "target", "platform", "policy",
-                                "log_level", "record_trace", "drain_grace_ms", "list_period_ms",
-                                "log_period_ms", "checkpoint_period_ms", "memory_mb" });
+    readFlagsFromEnvironment ({ "instance",       "service",
+                                "zone",           "ip",
+                                "caller_port",    "peer_port",
+                                "outbound_port",  "admin_ip",
+                                "admin_port",     "target",
+                                "platform",       "policy",
+                                "log_level",      "record_trace",
+                                "drain_grace_ms", "list_period_ms",
+                                "log_period_ms",  "checkpoint_period_ms",
+                                "memory_mb",      "max_descriptors" });
     gflags::ParseCommandLineFlags (&argc, &argv, true);
 
     SettingsCheck check;
