A connection frees the memory of a response that has been written

What callers saw: nothing, until a node ended: a client that asks for large responses over many connections, reads them and keeps the connections open, makes the node hold one response for each.

Cause: the message that was written was replaced by an empty one. Assigning an empty std::string keeps the memory of the string assigned to.

The same elsewhere: other assignments of empty values in these modules hold no buffers (read).

--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -432,17 +432,17 @@
 
         const auto extracted = m_exchanges.extract (next->m_id);
         const auto& exchange = extracted.mapped();
-        m_message =
-            toMessage (std::move (next->m_response), exchange.m_version, ! next->m_isLast, exchange.m_isHead);
+        m_message.emplace (toMessage (std::move (next->m_response), exchange.m_version, ! next->m_isLast,
+                                      exchange.m_isHead));
         m_stream.expires_after (writeTimeout);
 
-        if (m_message.body().size() > smallMessageBytes)
+        if (m_message->body().size() > smallMessageBytes)
         {
-            m_unread.hold (m_message.body().size());
+            m_unread.hold (m_message->body().size());
             updateCharge();
         }
 
-        http::async_write (m_stream, m_message,
+        http::async_write (m_stream, *m_message,
                            [self = shared_from_this()] (const beast::error_code& error, std::size_t) {
                                self->onWritten (error);
                            });
@@ -450,7 +450,7 @@
 
     void onWritten (const beast::error_code& error)
     {
-        m_message = {};
+        m_message.reset(); // an empty message assigned to it would keep the memory of its body
         m_unread.reset();
         m_order.onWritten();
 
@@ -565,7 +565,7 @@
     MemoryCharge m_charge;         /**< for other requests and responses */
     AcceptedConnection m_accepted;
     std::map<ResponseOrder::Id, Exchange> m_exchanges;
-    http::response<http::string_body> m_message; /**< being written */
+    std::optional<http::response<http::string_body>> m_message; /**< being written */
     bool m_isReading = false;
     bool m_isDropped = false; /**< whether the request being read was given up in favour of others */
     bool m_isWatching = false;
--- a/tests/untrusted/UntrustedClients_test.cpp
+++ b/tests/untrusted/UntrustedClients_test.cpp
@@ -200,6 +200,26 @@
                 { CrowdScenario::makeHead ("GET", "/read/large") + "\r\n", {}, 0, {}, false });
 }
 
+// Guards against a connection that keeps the memory of a response that has been written.
+TEST_CASE ("connections that stay open after large responses")
+{
+    CrowdScenario scenario;
+    std::vector<std::unique_ptr<Crowd>> crowds;
+
+    for (std::size_t index = 0; index < crowdSize; ++index)
+    {
+        crowds.push_back (std::make_unique<Crowd> (
+            scenario.context(), scenario.entry().outbound(), 1,
+            CrowdShape { CrowdScenario::makeHead ("GET", "/read/large") + "\r\n", {}, 0, {} }));
+        const auto& crowd = *crowds.back();
+        scenario.runUntil ([&crowd] { return ! crowd.answers().empty() || crowd.closed() > 0; },
+                           std::chrono::seconds (10));
+    }
+
+    CHECK (scenario.isServing (scenario.entry()));
+    scenario.checkMachines();
+}
+
 //==============================================================================
 // Guards against ports where the configured times are not in force.
 TEST_CASE ("unfinished headers are closed after the configured time")
