Format and lint of the mends

What readers find: the branches of HttpServer's readRequest() in the order in which they are decided, without a branch that is repeated; Events.h as clang-format leaves it. No decision changes: a request that was dropped to make room, or for which there is none, gets the same answer as before.

--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -74,8 +74,8 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_instance, m_calls); }
 };
 
-/** There was no room to queue these calls for the peer: none of them was sent. The peer and the connection to it
-    are not affected. */
+/** There was no room to queue these calls for the peer: none of them was sent. The peer and the connection to
+   it are not affected. */
 struct CallsNotQueued
 {
     InstanceName m_instance;
@@ -423,11 +423,12 @@
     template <class Archive> void serialize (Archive& archive) { archive (m_isStoreReachable); }
 };
 
-using EventBody = std::variant<TimePassed, RequestReceived, CallerDisconnected, PeerMessageReceived,
-                               PeerUnreachable, PeerLost, LinkClosed, GossipReceived, TargetAnswered,
-                               TargetFailed, TargetObserved, ListReceived, ConfigurationRead, JoinsRead,
-                               StopRequested, RelayRequestReceived, TargetReply, TargetAnnounced, RoutesRead,
-                               RoutesConfirmed, MembersRead, StoreReachabilityChanged, StoreRestored, CallsNotQueued, PeerCallRefused>;
+using EventBody =
+    std::variant<TimePassed, RequestReceived, CallerDisconnected, PeerMessageReceived, PeerUnreachable,
+                 PeerLost, LinkClosed, GossipReceived, TargetAnswered, TargetFailed, TargetObserved,
+                 ListReceived, ConfigurationRead, JoinsRead, StopRequested, RelayRequestReceived, TargetReply,
+                 TargetAnnounced, RoutesRead, RoutesConfirmed, MembersRead, StoreReachabilityChanged,
+                 StoreRestored, CallsNotQueued, PeerCallRefused>;
 
 //==============================================================================
 struct Event
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -289,18 +289,19 @@
         if (error == asio::error::operation_aborted && m_service->m_isShuttingDown && ! hasBegun)
             co_return; // serve() closes the connection unless a request has arrived meanwhile
 
-        if (isDropped && m_order.isOpen())
-            respondToError (HttpServerError::memoryFull);
-        else if (error && ! isProtocolError (error))
-            cancel (m_order.disconnect());
-        else if (! m_order.isOpen())
+        if (error && ! isDropped && ! isProtocolError (error))
+            co_return cancel (m_order.disconnect());
+
+        if (! m_order.isOpen())
             co_return; // the request is behind the last one that is answered
-        else if (error)
-            respondToError (classify (error));
-        else if (! hasRoomFor (message.body()))
-            respondToError (HttpServerError::memoryFull);
-        else
-            accept (std::move (message));
+
+        if (error && ! isDropped)
+            co_return respondToError (classify (error));
+
+        if (isDropped || ! hasRoomFor (message.body()))
+            co_return respondToError (HttpServerError::memoryFull);
+
+        accept (std::move (message));
     }
 
     /** @returns an error if there is no room for what has been received, or if it arrives too slowly */
