Serve request bodies up to the configured size: held once, sent in parts

What callers saw: a single request with a body above 1 MiB got 413 in calm, though the configuration allows 64 MiB.

Cause: a request crossed a link in one frame of at most 4 MiB, behind which all other messages waited, and each step on its way held a copy of the body: the event, the entry's state, the message, the frame and its encoding, which grew by doubling. So the limit was 1 MiB in the code.

Change: SharedBytes, immutable bytes whose copies share memory, for bodies of relayed requests and of HTTP requests. A link sends a body above 64 KB in parts (RelayBodyPart, protocol version 6), which take turns with other bodies and let other messages pass. The receiver charges the announced size first and refuses the request if there is no room, without closing the link; it passes the request on when the body is whole, so that a request whose link is lost before is known not to have run. The limit is the configured one, 1 GiB at most. A body is charged once on its way through a process: the call of the target no longer charges it again, and the calls of peers in the project's own interface are charged until they are answered. A body that arrives no longer reserves twice its announced length (std::string::reserve() doubles on its own), and reserved memory that was not written isn't charged.

--- a/modules/plankledge_core/PeerMessages.h
+++ b/modules/plankledge_core/PeerMessages.h
@@ -317,7 +317,7 @@
                  JoinAcknowledgement, Heartbeat, Handover, HandoverAcknowledgement, LeaveNotice,
                  LeaveAcknowledgement, ConfigurationPull, ConfigurationState, RelayRequest, RelayAnswer,
                  RelayCancel, PeerHello, PeerStatus, RoutesPull, RoutesText, MembersPull, MembersUpdate,
-                 ProofQuery, ProofAnswer, LimitQuery, LimitAnswer, CrashUpdate, CrashPull>;
+                 ProofQuery, ProofAnswer, LimitQuery, LimitAnswer, CrashUpdate, CrashPull, RelayBodyPart>;
 
 //==============================================================================
 /** A gossip datagram: the sender, its configuration version and recent changes of members. */
--- a/modules/plankledge_core/RelayMessages.h
+++ b/modules/plankledge_core/RelayMessages.h
@@ -4,6 +4,7 @@
 #include "plankledge_core/Identity.h"
 #include "plankledge_core/Member.h"
 #include "plankledge_core/Outcome.h"
+#include "plankledge_core/SharedBytes.h"
 #include "plankledge_core/Time.h"
 
 #include <compare>
@@ -77,7 +78,7 @@
     std::string m_method;
     std::string m_path; /**< with its query */
     HeaderList m_headers;
-    std::string m_body;
+    SharedBytes m_body;
 
     auto operator<=> (const RelayContent&) const = default;
 
@@ -210,6 +211,8 @@
 {
     CallId m_callId = 0;
     RelayContent m_content;
+    std::uint32_t m_bodyBytesToFollow =
+        0;                       /**< if not 0, the body is empty here and follows in RelayBodyParts */
     ServiceName m_service;       /**< service to which the target must belong */
     ServiceName m_callerService; /**< service of the instance at which the request arrived */
     RouteName m_route;
@@ -241,13 +244,25 @@
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_callId, m_content, m_service, m_callerService, m_route, m_organisation, m_digest,
-                 m_keyValidFor, m_isShortOffer, m_effectivePriority, m_retryPriority, m_isChainRepeatable,
-                 m_isTolerantChain, m_isRetry, m_isNested, m_chainAge, m_timeLeft, m_maxQueueTime,
-                 m_maxQueueTimeOfNewChain, m_sentAt, m_restriction);
+        archive (m_callId, m_content, m_bodyBytesToFollow, m_service, m_callerService, m_route,
+                 m_organisation, m_digest, m_keyValidFor, m_isShortOffer, m_effectivePriority,
+                 m_retryPriority, m_isChainRepeatable, m_isTolerantChain, m_isRetry, m_isNested, m_chainAge,
+                 m_timeLeft, m_maxQueueTime, m_maxQueueTimeOfNewChain, m_sentAt, m_restriction);
     }
 };
 
+/** The next part of the body of a RelayRequest. Large bodies are sent in parts, so that other messages can be
+    sent between them. */
+struct RelayBodyPart
+{
+    CallId m_callId = 0;
+    std::string m_bytes;
+
+    auto operator<=> (const RelayBodyPart&) const = default;
+
+    template <class Archive> void serialize (Archive& archive) { archive (m_callId, m_bytes); }
+};
+
 /** Answers a RelayRequest. */
 struct RelayAnswer
 {
--- a/modules/plankledge_core/plankledge_core.h
+++ b/modules/plankledge_core/plankledge_core.h
@@ -15,4 +15,5 @@
 #include "plankledge_core/Outcome.h"
 #include "plankledge_core/PeerMessages.h"
 #include "plankledge_core/Random.h"
+#include "plankledge_core/SharedBytes.h"
 #include "plankledge_core/Time.h"
--- a/modules/plankledge_runtime/CallerHttp.cpp
+++ b/modules/plankledge_runtime/CallerHttp.cpp
@@ -86,7 +86,7 @@
     received.m_content.m_method = std::move (request.m_method);
     received.m_content.m_path = std::move (request.m_target);
     received.m_content.m_contentType = std::move (request.m_contentType);
-    received.m_content.m_body = std::move (request.m_body);
+    received.m_content.m_body = std::string (request.m_body);
 
     const auto key = findHeader (request.m_headers, "Idempotency-Key");
 
--- a/modules/plankledge_runtime/Http.h
+++ b/modules/plankledge_runtime/Http.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plankledge_core/SharedBytes.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -26,7 +28,7 @@
     std::string m_target = "/"; /**< path and query */
     HttpHeaders m_headers;
     std::string m_contentType;
-    std::string m_body;
+    SharedBytes m_body;
 };
 
 /** A complete HTTP/1.1 response. */
@@ -39,9 +41,12 @@
     bool m_closesConnection = false; /**< whether the connection closes after it */
 };
 
-/** The maximum size of a request or response body. */
+/** The maximum size of a response body, and of a request body unless another limit is configured. */
 inline constexpr std::size_t maxBodyBytes = 1U << 20U;
 
+/** The maximum size of a request body that can be configured. */
+inline constexpr std::size_t maxConfiguredBodyBytes = 1U << 30U;
+
 /** The maximum size of a header section. */
 inline constexpr std::size_t maxHeaderBytes = 16U << 10U;
 
--- a/modules/plankledge_runtime/HttpMessages.cpp
+++ b/modules/plankledge_runtime/HttpMessages.cpp
@@ -7,9 +7,9 @@
 
 namespace http = boost::beast::http;
 
-http::request<http::string_body> toMessage (HttpRequest request, const Endpoint& endpoint)
+http::request<detail::SharedBody> toMessage (HttpRequest request, const Endpoint& endpoint)
 {
-    http::request<http::string_body> message;
+    http::request<detail::SharedBody> message;
     message.version (11);
     message.method_string (request.m_method);
     message.target (request.m_target);
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -62,7 +62,7 @@
     for (const auto& field : message)
         request.m_headers.emplace_back (std::string (field.name_string()), std::string (field.value()));
 
-    request.m_body = std::move (message.body());
+    request.m_body = SharedBytes (std::move (message.body()));
     return request;
 }
 
@@ -269,7 +269,7 @@
     {
         auto& parser = m_parser.emplace();
         const auto limits = m_service->clientLimits();
-        parser.body_limit (std::min (limits.m_bodyBytes, maxBodyBytes));
+        parser.body_limit (std::min (limits.m_bodyBytes, maxConfiguredBodyBytes));
         m_hasReadAhead = m_hasReadAhead || m_order.size() > 0;
         m_isReading = true;
         m_readState = {};
--- a/modules/plankledge_runtime/IncrementalBody.h
+++ b/modules/plankledge_runtime/IncrementalBody.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plankledge_runtime/StringCapacity.h"
+
 #include <boost/beast/core/buffer_traits.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
@@ -38,16 +40,7 @@
         template <class Buffers> std::size_t put (const Buffers& buffers, boost::beast::error_code& error)
         {
             const auto added = boost::beast::buffer_bytes (buffers);
-            const auto needed = m_body.size() + added;
-
-            if (needed > m_body.capacity())
-            {
-                // Grows geometrically, but not beyond the announced length.
-                const auto doubled = std::max (needed, m_body.capacity() * 2);
-                m_body.reserve (m_length.has_value() && *m_length >= needed
-                                    ? std::min<std::size_t> (doubled, *m_length)
-                                    : doubled);
-            }
+            growCapacity (m_body, m_body.size() + added, m_length.value_or (0));
 
             for (const auto buffer : boost::beast::buffers_range_ref (buffers))
                 m_body.append (static_cast<const char*> (buffer.data()), buffer.size());
--- a/modules/plankledge_runtime/LinkTraffic.cpp
+++ b/modules/plankledge_runtime/LinkTraffic.cpp
@@ -22,6 +22,7 @@
     FrameKind operator() (const PeerHello&) const noexcept { return FrameKind::hello; }
     FrameKind operator() (const PeerStatus&) const noexcept { return FrameKind::status; }
     FrameKind operator() (const RelayRequest&) const noexcept { return FrameKind::request; }
+    FrameKind operator() (const RelayBodyPart&) const noexcept { return FrameKind::request; }
     FrameKind operator() (const RelayAnswer&) const noexcept { return FrameKind::answer; }
     FrameKind operator() (const RelayCancel&) const noexcept { return FrameKind::cancel; }
     FrameKind operator() (const RoutesPull&) const noexcept { return FrameKind::routes; }
--- a/modules/plankledge_runtime/MemoryBudget.h
+++ b/modules/plankledge_runtime/MemoryBudget.h
@@ -21,7 +21,7 @@
     unreadResponses,    /**< large responses that are being written */
     peerQueues,         /**< frames that are not written to other nodes */
     peerCalls,          /**< other nodes' requests for the local target */
-    targetCalls,        /**< requests to the target, and its responses to them */
+    targetCalls,        /**< responses of the target, until they are passed on */
     memoryUseCount
 };
 
--- a/modules/plankledge_runtime/PeerLinks.cpp
+++ b/modules/plankledge_runtime/PeerLinks.cpp
@@ -1,6 +1,7 @@
 #include "plankledge_runtime/PeerLinks.h"
 
 #include "plankledge_runtime/Acceptor.h"
+#include "plankledge_runtime/BodyTransfer.h"
 #include "plankledge_runtime/ReadBuffer.h"
 #include <array>
 #include <boost/asio/as_tuple.hpp>
@@ -51,6 +52,7 @@
     return ! std::holds_alternative<CallRequest> (message) &&
            ! std::holds_alternative<CallAnswer> (message) && ! std::holds_alternative<CallCancel> (message) &&
            ! std::holds_alternative<RelayRequest> (message) &&
+           ! std::holds_alternative<RelayBodyPart> (message) &&
            ! std::holds_alternative<RelayAnswer> (message) && ! std::holds_alternative<RelayCancel> (message);
 }
 
@@ -138,12 +140,14 @@
     }
 
     tcp::socket m_socket;
-    asio::steady_timer m_timer;             /**< the connect timeout, then the idle timeout */
-    std::vector<std::string> m_queued;      /**< to write; each holds one or more frames */
-    std::vector<std::string> m_writing;     /**< being written */
-    MemoryCharge m_queueCharge;             /**< for both */
-    DroppableMessage m_incomplete;          /**< the frame being received */
-    std::vector<CallId> m_unsent;           /**< calls queued before the connection is established */
+    asio::steady_timer m_timer;         /**< the connect timeout, then the idle timeout */
+    std::vector<std::string> m_queued;  /**< to write; each holds one or more frames */
+    std::vector<std::string> m_writing; /**< being written */
+    MemoryCharge m_queueCharge;         /**< for both */
+    DroppableMessage m_incomplete;      /**< the frame being received */
+    std::vector<CallId> m_unsent;       /**< calls queued before the connection is established */
+    detail::OutgoingBodies m_outgoingBodies;
+    detail::IncomingBodies m_incomingBodies;
     std::map<CallId, MemoryCharge> m_calls; /**< the peer's calls that are not answered */
     std::optional<AcceptedConnection> m_accepted;
     Endpoint m_endpoint;
@@ -222,8 +226,19 @@
         co_await readFrames (0, link, instance);
         link->close();
 
-        if (removeOpened (instance, link) && ! m_isShuttingDown)
-            m_hooks.m_onLost (instance);
+        if (removeOpened (instance, link))
+            reportLost (instance, *link);
+    }
+
+    void reportLost (const InstanceName& instance, Link& link)
+    {
+        if (m_isShuttingDown)
+            return;
+
+        if (auto unsent = link.m_outgoingBodies.takeUnfinished(); ! unsent.empty())
+            m_hooks.m_onUnreachable (instance, std::move (unsent));
+
+        m_hooks.m_onLost (instance);
     }
 
     asio::awaitable<bool> connect (Link& link)
@@ -350,53 +365,108 @@
             if (isControl (frame->m_message))
                 m_controlBytes += frameHeaderBytes + *length;
 
-            if (mayKeep (id, link, *frame))
-                m_hooks.m_onMessage (id, frame->m_from, std::move (frame->m_message));
+            const auto from = frame->m_from;
+            auto message = receive (id, link, *std::move (frame));
+
+            if (! message.ok())
+                return message.status();
+
+            if (message->has_value())
+                m_hooks.m_onMessage (id, from, **std::move (message));
         }
 
         return consumed;
     }
 
-    /** Charges a peer's call for its body.
-
-        @returns whether there is room; otherwise the call has been refused
+    /** @returns the message to be passed on; nullopt if its body follows, or if it was refused; WireError if
+       the body of a request is longer than announced
     */
-    bool mayKeep (LinkId id, Link& link, const Frame& frame)
+    absl::StatusOr<std::optional<PeerMessage>> receive (LinkId id, Link& link, Frame frame)
     {
+        if (const auto* answer = std::get_if<RelayAnswer> (&frame.m_message))
+            link.m_outgoingBodies.erase (answer->m_callId);
+
         if (const auto* cancelled = std::get_if<RelayCancel> (&frame.m_message))
+        {
+            link.m_incomingBodies.erase (cancelled->m_callId);
             link.m_calls.erase (cancelled->m_callId);
+        }
 
-        const auto* request = std::get_if<RelayRequest> (&frame.m_message);
+        if (const auto* cancelled = std::get_if<CallCancel> (&frame.m_message))
+            link.m_calls.erase (cancelled->m_callId);
 
-        if (request == nullptr || request->m_content.m_body.empty())
+        if (const auto* call = std::get_if<CallRequest> (&frame.m_message))
+            charge (link, call->m_callId, call->m_content.m_body.size());
+
+        if (const auto* part = std::get_if<RelayBodyPart> (&frame.m_message))
+        {
+            auto request = link.m_incomingBodies.add (*part);
+
+            if (! request.ok())
+                return request.status();
+
+            return request->has_value() ? std::optional<PeerMessage> (**std::move (request)) : std::nullopt;
+        }
+
+        if (auto* request = std::get_if<RelayRequest> (&frame.m_message))
+        {
+            if (! mayKeep (id, link, frame.m_from, *request))
+                return std::nullopt;
+
+            if (request->m_bodyBytesToFollow > 0)
+            {
+                link.m_incomingBodies.begin (std::move (*request));
+                return std::nullopt;
+            }
+        }
+
+        return std::move (frame.m_message);
+    }
+
+    /** Charges a peer's call for its whole body.
+
+        @returns whether there is room; otherwise the call has been refused
+    */
+    bool mayKeep (LinkId id, Link& link, const NodeId& from, const RelayRequest& request)
+    {
+        const auto bytes = request.m_content.m_body.size() + request.m_bodyBytesToFollow;
+
+        if (bytes == 0)
             return true;
 
-        const auto bytes = request->m_content.m_body.size();
         const auto priority =
             bytes <= smallMessageBytes ? MemoryPriority::smallRequest : MemoryPriority::largeRequest;
 
         if (! m_resources->m_memory.makeRoom (bytes, priority))
         {
-            m_hooks.m_onCallRefused (id, frame.m_from, *request);
+            m_hooks.m_onCallRefused (id, from, request);
             return false;
         }
 
-        link.m_calls.try_emplace (request->m_callId, m_resources->m_memory, MemoryUse::peerCalls, bytes);
+        charge (link, request.m_callId, bytes);
         return true;
     }
 
+    void charge (Link& link, CallId call, std::size_t bytes)
+    {
+        link.m_calls.try_emplace (call, m_resources->m_memory, MemoryUse::peerCalls, bytes);
+    }
+
     //==============================================================================
     void write (const LinkPointer& link, const InstanceName& to, const PeerMessage& message)
     {
         if (link->m_isClosed || m_isShuttingDown)
             return;
 
-        auto bytes = encodeFrame ({ protocolVersion, m_self, to, message });
+        auto bytes = encode (*link, to, message);
 
         if (! hasRoom (*link, message, bytes.size()))
         {
             if (const auto call = callIdOf (message))
+            {
+                link->m_outgoingBodies.erase (*call);
                 return m_hooks.m_onNotQueued (to, *call);
+            }
 
             if (const auto shortened = withoutContent (message))
                 bytes = encodeFrame ({ protocolVersion, m_self, to, *shortened });
@@ -419,6 +489,32 @@
             flush (link);
     }
 
+    /** Encodes a message; the large body of a request is put aside, to be sent in parts. */
+    std::string encode (Link& link, const InstanceName& to, PeerMessage message)
+    {
+        if (const auto* cancelled = std::get_if<RelayCancel> (&message))
+            link.m_outgoingBodies.erase (cancelled->m_callId);
+
+        if (auto* request = std::get_if<RelayRequest> (&message))
+            *request = link.m_outgoingBodies.begin (to, std::move (*request));
+
+        return encodeFrame ({ protocolVersion, m_self, to, std::move (message) });
+    }
+
+    /** Queues the next part of a large body, if there is one. */
+    void enqueueBodyPart (Link& link)
+    {
+        auto next = link.m_outgoingBodies.next();
+
+        if (! next.has_value())
+            return;
+
+        const PeerMessage message = std::move (next->m_part);
+        auto bytes = encodeFrame ({ protocolVersion, m_self, next->m_to, message });
+        m_hooks.m_onFrameQueued (next->m_to, message, bytes.size());
+        link.enqueue (std::move (bytes));
+    }
+
     bool hasRoom (const Link& link, const PeerMessage& message, std::size_t bytes)
     {
         return isControl (message) || (link.queuedBytes() + bytes <= maxQueuedBytes &&
@@ -427,6 +523,9 @@
 
     void flush (const LinkPointer& link)
     {
+        if (link->m_writing.empty() && ! link->m_isClosed)
+            enqueueBodyPart (*link);
+
         if (! link->m_writing.empty() || link->m_queued.empty() || link->m_isClosed)
         {
             if (m_isShuttingDown)
@@ -458,7 +557,8 @@
     /** Closes the sending direction if nothing is left to be sent. */
     static void closeSendingIfFlushed (Link& link)
     {
-        if (! link.m_writing.empty() || ! link.m_queued.empty() || link.m_isClosed)
+        if (! link.m_writing.empty() || ! link.m_queued.empty() || ! link.m_outgoingBodies.empty() ||
+            link.m_isClosed)
             return;
 
         boost::system::error_code ignored;
@@ -535,7 +635,7 @@
     if (link == nullptr || link->m_isClosed)
     {
         if (link != nullptr && link->m_isConnected)
-            m_implementation->m_hooks.m_onLost (instance);
+            m_implementation->reportLost (instance, *link);
 
         link = std::make_shared<Link> (tcp::socket (m_implementation->m_context),
                                        m_implementation->m_resources->m_memory);
@@ -561,6 +661,9 @@
     if (const auto* answer = std::get_if<RelayAnswer> (&message))
         found->second->m_calls.erase (answer->m_callId);
 
+    if (const auto* answer = std::get_if<CallAnswer> (&message))
+        found->second->m_calls.erase (answer->m_callId);
+
     m_implementation->write (found->second, instance, message);
 }
 
--- a/modules/plankledge_runtime/PeerLinks.h
+++ b/modules/plankledge_runtime/PeerLinks.h
@@ -25,6 +25,10 @@
     Queues are bounded. A call for which there is no room is not sent, and an answer is replaced by
     one with an unknown outcome; what was queued before is still sent. A connection that has not
     carried a valid frame may be closed in favour of others.
+
+    The body of a relayed request above maxBodyPartBytes is sent in parts, between which other
+    messages are sent. The receiver charges its memory by the announced length. The request is
+    passed on once it is whole, so that it can't run if its connection is lost before.
 */
 class PeerLinks
 {
@@ -35,7 +39,8 @@
         /** Called for each message. The link is 0 for connections that this node opened. */
         std::function<void (LinkId, const NodeId& from, PeerMessage)> m_onMessage;
 
-        /** Connecting failed. Passes the ids of the calls that were queued for it. */
+        /** Connecting failed, or the connection was lost. Passes the ids of the calls that were not sent
+            whole. */
         std::function<void (const InstanceName&, std::vector<CallId> unsent)> m_onUnreachable;
 
         /** There was no room to queue a call. Nothing of it was sent. */
--- a/modules/plankledge_runtime/RequestWriter.h
+++ b/modules/plankledge_runtime/RequestWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plankledge_runtime/SharedBody.h"
 #include "plankledge_runtime/TargetConnection.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -23,7 +24,7 @@
 {
 public:
     //==============================================================================
-    using Message = boost::beast::http::request<boost::beast::http::string_body>;
+    using Message = boost::beast::http::request<SharedBody>;
 
     RequestWriter (std::shared_ptr<TargetConnection> connection, Message message);
 
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -91,7 +91,7 @@
             co_return; // cancelled before it started
 
         const auto id = m_idOf ? std::optional<std::string> (m_idOf (request.m_headers)) : std::nullopt;
-        MemoryCharge charge (m_resources->m_memory, MemoryUse::targetCalls, request.m_body.size());
+        MemoryCharge charge (m_resources->m_memory, MemoryUse::targetCalls);
         auto connection = takeIdle (id);
         m_active[call] = connection;
 
@@ -130,7 +130,7 @@
     }
 
     /** @param id       of the request; nullopt: requests have none
-        @param charge   for the request; grows with the response
+        @param charge   grows with the response; whoever passed the request on charges for its body
 
         @returns the complete response to the request, or nullopt if none was received
     */
@@ -140,9 +140,8 @@
                                                                MemoryCharge& charge)
     {
         beast::flat_buffer buffer;
-        const auto requestBytes = charge.bytes();
-        const auto beforeRead = [this, &charge, requestBytes] (const detail::ReadProgress& progress) {
-            return resizeCharge (charge, requestBytes + progress.m_held);
+        const auto beforeRead = [this, &charge] (const detail::ReadProgress& progress) {
+            return resizeCharge (charge, progress.m_held);
         };
 
         for (unsigned strayResponses = 0; strayResponses <= maxStrayResponses; ++strayResponses)
--- a/modules/plankledge_wire/FrameCodec.cpp
+++ b/modules/plankledge_wire/FrameCodec.cpp
@@ -79,6 +79,15 @@
     bool operator() (const JoinAcknowledgement& join) const noexcept { return areValid (join.m_members); }
     bool operator() (const Heartbeat& heartbeat) const noexcept { return isValid (heartbeat.m_member); }
     bool operator() (const PeerHello& hello) const noexcept { return isValid (hello.m_member); }
+    bool operator() (const RelayRequest& request) const noexcept
+    {
+        return request.m_bodyBytesToFollow <= maxBodyBytesToFollow &&
+               (request.m_bodyBytesToFollow == 0 || request.m_content.m_body.empty());
+    }
+    bool operator() (const RelayBodyPart& part) const noexcept
+    {
+        return ! part.m_bytes.empty() && part.m_bytes.size() <= maxBodyPartBytes;
+    }
     bool operator() (const RelayAnswer& answer) const noexcept
     {
         return answer.m_result.m_outcome <= Outcome::unknown &&
--- a/modules/plankledge_wire/FrameCodec.h
+++ b/modules/plankledge_wire/FrameCodec.h
@@ -10,11 +10,17 @@
 {
 
 /** Version of the protocol between nodes. Frames and datagrams of other versions are rejected. */
-inline constexpr std::uint16_t protocolVersion = 5;
+inline constexpr std::uint16_t protocolVersion = 6;
 
 /** Maximum size of a frame's payload, in bytes; a larger encoded length closes the connection. */
 inline constexpr std::uint32_t maxFrameBytes = 4U << 20U;
 
+/** Bodies of relayed requests above this size, in bytes, are sent in parts of at most this size. */
+inline constexpr std::size_t maxBodyPartBytes = 64U << 10U;
+
+/** Maximum size of a body that is sent in parts, in bytes. */
+inline constexpr std::uint32_t maxBodyBytesToFollow = 1U << 30U;
+
 /** Maximum size of a datagram, in bytes; fits into one Ethernet frame. */
 inline constexpr std::size_t maxDatagramBytes = 1400;
 
--- a/standins/standin-platform.cpp
+++ b/standins/standin-platform.cpp
@@ -123,7 +123,7 @@
     HttpResponse control (const HttpRequest& request)
     {
         boost::system::error_code error;
-        const auto value = json::parse (request.m_body, error);
+        const auto value = json::parse (request.m_body.view(), error);
 
         if (error || ! value.is_object())
             return messageResponse (400, "not an object");
@@ -155,7 +155,7 @@
     //==============================================================================
     HttpResponse append (Stream& stream, const HttpRequest& request)
     {
-        stream.m_records.push_back (request.m_body);
+        stream.m_records.emplace_back (request.m_body);
         const auto offset = stream.next() - 1;
 
         if (FLAGS_keep_records > 0)
@@ -209,7 +209,7 @@
         }
 
         boost::system::error_code error;
-        auto value = json::parse (request.m_body, error);
+        auto value = json::parse (request.m_body.view(), error);
 
         if (error || ! value.is_object())
             return messageResponse (400, "not an object");
--- a/standins/standin-target.cpp
+++ b/standins/standin-target.cpp
@@ -189,7 +189,7 @@
     HttpResponse control (const HttpRequest& request)
     {
         boost::system::error_code error;
-        const auto value = json::parse (request.m_body, error);
+        const auto value = json::parse (request.m_body.view(), error);
 
         if (error || ! value.is_object())
             return makeResponse (400, R"({"message":"not an object"})");
@@ -307,7 +307,7 @@
     {
         end (job);
         const json::object body { { "instance", FLAGS_instance },    { "service", FLAGS_service },
-                                  { "operation", job->m_operation }, { "body", job->m_request.m_body },
+                                  { "operation", job->m_operation }, { "body", job->m_request.m_body.view() },
                                   { "calls", job->m_results },       { "failed_call", job->m_failedCall } };
         const bool isFailure = job->m_hasFailed || m_isFailing;
         job->m_respond (makeResponse (isFailure ? 502 : 200, json::serialize (body)));
--- a/tests/platform/HttpCodec_test.cpp
+++ b/tests/platform/HttpCodec_test.cpp
@@ -411,7 +411,7 @@
 
     for (const auto& request : bad)
     {
-        CAPTURE (request.m_method + " " + request.m_target + " " + request.m_body);
+        CAPTURE (request.m_method + " " + request.m_target + " " + std::string (request.m_body));
         CHECK (std::holds_alternative<AnnouncementError> (decodeAnnouncement (request, expectedTarget)));
     }
 }
--- a/tests/platform/MalformedInputFuzz_test.cpp
+++ b/tests/platform/MalformedInputFuzz_test.cpp
@@ -113,7 +113,7 @@
         request.m_method = "PUT";
         request.m_target = "/-/instances/i-1";
         request.m_body = mutator.mutate (announcement);
-        CAPTURE (request.m_body);
+        CAPTURE (request.m_body.view());
         const auto decoded = decodeAnnouncement (request, expectedTarget);
         const auto* announced = std::get_if<TargetAnnounced> (&decoded);
 
@@ -249,7 +249,8 @@
         LimitAnswer { 7, LimitVerdict::beyond, Milliseconds (4) },
         CrashUpdate { { { { { "node-1", 7 }, 3 }, Milliseconds (5), false, { 1, 2 } } },
                       { { 7, Milliseconds (5) } } },
-        CrashPull { 7 }
+        CrashPull { 7 },
+        RelayBodyPart { 7, "bytes" }
     };
 
     for (unsigned trial = 0; trial < trials(); ++trial)
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -106,7 +106,7 @@
 HttpResponse StoreStandin::append (const HttpRequest& request, const std::string& topic)
 {
     ++m_appends;
-    const auto& bytes = request.m_body;
+    const std::string bytes (request.m_body);
     const auto keyLength = static_cast<unsigned char> (bytes.at (4));
     put (topic, bytes.substr (5, keyLength), bytes.substr (5U + keyLength));
     return makeStatus (200, R"({"offset":0,"endKey":0})");
--- a/tests/untrusted/CrowdShapes.cpp
+++ b/tests/untrusted/CrowdShapes.cpp
@@ -39,10 +39,10 @@
     return { head, chunk (chunkSize), CrowdScenario::maxBody / chunkSize - 1, {} };
 }
 
-CrowdShape bodyWithLength (std::size_t missingBytes)
+CrowdShape bodyWithLength (std::size_t missingBytes, std::size_t length)
 {
     const std::string piece (largeChunk, 'b');
-    return { headWithLength (CrowdScenario::maxBody), piece, CrowdScenario::maxBody / largeChunk - 1,
+    return { headWithLength (length), piece, length / largeChunk - 1,
              std::string (largeChunk - missingBytes, 'b') };
 }
 
--- a/tests/untrusted/CrowdShapes.h
+++ b/tests/untrusted/CrowdShapes.h
@@ -31,8 +31,11 @@
 /** @returns a request with a body in chunks that stops before its last one */
 CrowdShape unfinishedChunks (const std::string& head, std::size_t chunkSize);
 
-/** @returns a request with a body of the largest size, of which the last bytes may be missing */
-CrowdShape bodyWithLength (std::size_t missingBytes);
+/** @returns a request with a body of the largest size, of which the last bytes may be missing
+
+    @param length   announced length of the body, in bytes; a multiple of largeChunk
+*/
+CrowdShape bodyWithLength (std::size_t missingBytes, std::size_t length = CrowdScenario::maxBody);
 
 /** @returns a frame of the largest size that stops before its end */
 CrowdShape unfinishedFrame();
--- a/tests/untrusted/UntrustedClients_test.cpp
+++ b/tests/untrusted/UntrustedClients_test.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t fewDescriptors = 150;
 constexpr std::size_t idleCrowdSize = 300;
 
+/** A large configured limit of a body, in bytes, and a crowd that exceeds the machine's memory with it. */
+constexpr std::size_t configuredSize = 8U << 20U;
+constexpr std::size_t configuredSizeCrowd = 24;
+
 /** Checks the machines and ordinary requests at both nodes, beside the crowd and after it has left. */
 void checkServing (CrowdScenario& scenario, std::unique_ptr<Crowd> crowd)
 {
@@ -270,13 +274,38 @@
 // Guards against a limit of the program that lies below the one that is published to clients.
 TEST_CASE ("a single body of the configured size in calm")
 {
-    constexpr std::size_t configuredSize = 8U << 20U;
     CrowdScenario scenario ({}, configuredSize);
     auto request = CrowdScenario::makeRequest ("/read/x");
     request.m_method = "POST";
-    request.m_body.assign (configuredSize, 'b');
+    request.m_body = std::string (configuredSize, 'b');
+    CHECK (scenario.isServed (scenario.entry().outbound(), request));
+    scenario.checkMachines();
+}
+
+TEST_CASE ("a single body of 64 MiB in calm")
+{
+    constexpr std::size_t size = 64U << 20U;
+    CrowdScenario scenario ({ 260, 1024 }, size);
+    auto request = CrowdScenario::makeRequest ("/read/x");
+    request.m_method = "POST";
+    request.m_body = std::string (size, 'b');
     CHECK (scenario.isServed (scenario.entry().outbound(), request));
     scenario.checkMachines();
 }
 
+// Guards against large bodies that leave no room for ordinary requests.
+TEST_CASE ("whole bodies of a large configured size at once")
+{
+    CrowdScenario scenario ({}, configuredSize);
+    checkCrowd (scenario.entry().outbound(), scenario, configuredSizeCrowd,
+                bodyWithLength (0, configuredSize));
+}
+
+TEST_CASE ("bodies of a large configured size that stop before their last byte")
+{
+    CrowdScenario scenario ({}, configuredSize);
+    checkCrowd (scenario.entry().outbound(), scenario, configuredSizeCrowd,
+                bodyWithLength (1, configuredSize));
+}
+
 } // namespace plankledge::test
