Deliver a refusal to a client that still sends a large body

What callers see: a client whose body is refused while it sends more than 8 MiB gets a reset, and may not know that its request has not run. Such bodies are inside the limits since they are configured.

Cause: behind a refused request at most 8 MiB were read and discarded before the connection was closed; the rest lay unread, and the system then resets the connection.

--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -43,7 +43,9 @@
 
 /** A body that arrives more slowly on average, over the idle timeout and longer, is given up. */
 constexpr std::size_t minBodyBytesPerSecond = 1U << 10U;
-constexpr std::size_t maxDiscardedBytes = 8U << 20U;
+
+/** What is read and discarded behind a refused request: the largest body, and this for what exceeds it. */
+constexpr std::size_t discardedExcessBytes = 8U << 20U;
 
 /** Bounds for connections on which requests may run at the same time. Eight hide the durations of several
     requests from a caller. The bytes of bodies are bounded since a node has 160 MB of memory for up to 4,100
@@ -132,13 +134,14 @@
 
 /** Reads and discards what the client still sends: closing with unread bytes would reset the connection,
     and the client might lose the response. */
-asio::awaitable<void> discardUnread (beast::tcp_stream& stream, std::chrono::milliseconds timeout)
+asio::awaitable<void> closeAndDiscard (beast::tcp_stream& stream, std::chrono::milliseconds timeout,
+                                       std::size_t maxBytes)
 {
     shutdownSend (stream);
     stream.expires_after (timeout);
     static thread_local std::array<char, 16384> bytes; // shared, since nobody looks at what is read
 
-    for (std::size_t discarded = 0; discarded < maxDiscardedBytes;)
+    for (std::size_t discarded = 0; discarded < maxBytes;)
     {
         const auto [error, size] = co_await stream.async_read_some (asio::buffer (bytes), asTuple);
 
@@ -163,7 +166,12 @@
 
     MemoryBudget& memory() const noexcept { return m_resources->m_memory; }
 
-    ClientLimits clientLimits() const { return m_hooks.m_limits ? m_hooks.m_limits() : ClientLimits(); }
+    ClientLimits clientLimits() const
+    {
+        auto limits = m_hooks.m_limits ? m_hooks.m_limits() : ClientLimits();
+        limits.m_bodyBytes = std::min (limits.m_bodyBytes, maxConfiguredBodyBytes);
+        return limits;
+    }
 
     HttpServer::Hooks m_hooks;
     const ProcessResourcesPointer m_resources;
@@ -221,7 +229,7 @@
         while (! self->m_order.isFinished())
         {
             if (self->m_service->m_isShuttingDown && self->isIdle())
-                co_return co_await discardUnread (self->m_stream, idleDiscardTimeout);
+                co_return co_await self->discardUnread (idleDiscardTimeout);
 
             if (self->mayRead())
             {
@@ -234,7 +242,7 @@
         }
 
         if (self->mayHaveUnreadBytes())
-            co_await discardUnread (self->m_stream, discardTimeout);
+            co_await self->discardUnread (discardTimeout);
 
         shutdownSend (self->m_stream);
     }
@@ -265,11 +273,17 @@
                m_stream.socket().available (error) == 0;
     }
 
+    asio::awaitable<void> discardUnread (std::chrono::milliseconds timeout)
+    {
+        const auto limits = m_service->clientLimits();
+        co_await closeAndDiscard (m_stream, timeout, limits.m_bodyBytes + discardedExcessBytes);
+    }
+
     asio::awaitable<void> readRequest()
     {
         auto& parser = m_parser.emplace();
         const auto limits = m_service->clientLimits();
-        parser.body_limit (std::min (limits.m_bodyBytes, maxConfiguredBodyBytes));
+        parser.body_limit (limits.m_bodyBytes);
         m_hasReadAhead = m_hasReadAhead || m_order.size() > 0;
         m_isReading = true;
         m_readState = {};
