Crowd tests: their nodes end with the test

The nodes now ask the system to be killed when their parent ends. Seen: untrusted_mixed_crowds killed after 4 s left none of its nodes.

--- a/tests/untrusted/NodeProcess.cpp
+++ b/tests/untrusted/NodeProcess.cpp
@@ -12,6 +12,7 @@
 #include <iterator>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -63,6 +64,7 @@
     ::dup2 (log, STDOUT_FILENO);
     ::dup2 (log, STDERR_FILENO);
     ::closefrom (STDERR_FILENO + 1);
+    ::prctl (PR_SET_PDEATHSIG, SIGKILL); // ends with the test, even if that is killed
     setLimit (RLIMIT_CORE, 0);
     setLimit (RLIMIT_DATA, options.m_limits.memoryBytes());
     setLimit (RLIMIT_NOFILE, options.m_limits.m_descriptors);
