Soak: a standstill in slices counts as one

The soak takes a gap of 250 ms between its steps for a standstill, after which recovery is judged anew, and saw none here.

Change: gaps of 50 ms and longer within a second are added up (StandstillDetector). The check of recovery stays: it judges 200 requests and more after the last standstill, as before. soak_standstill_in_slices makes such a standstill, 200 ms six times.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -3,6 +3,7 @@
    the schedule of faults. */
 
 #include "soak/SoakNode.h"
+#include "soak/StandstillDetector.h"
 #include "support/StoreStandin.h"
 
 #include <boost/json.hpp>
@@ -24,6 +25,7 @@
     "is latency-tolerant");
 DEFINE_int32 (standstill_ms, 0,
               "all processes stand still for this long once the faults have ended; 0: don't");
+DEFINE_int32 (standstill_slice_ms, 0, "they do so in slices of this length; 0: in one piece");
 DEFINE_string (program, "build/plankledge-sidecar", "path of the node program");
 DEFINE_string (logs, "", "folder for the nodes' logs; empty: a temporary folder that is removed at exit");
 
@@ -60,8 +62,8 @@
 /** From the start of the calm time until the standstill that is asked for. */
 constexpr Duration standstillDelay = Milliseconds (300);
 
-/** Gap between steps from which the process has stood still; a busy machine delays timers by less. */
-constexpr Duration minStandstill = Milliseconds (250);
+/** For how long processes run between two slices of a standstill. */
+constexpr Duration timeBetweenSlices = Milliseconds (40);
 constexpr Duration requestTimeout = Milliseconds (1500);
 constexpr const char* operatorTopic = "keyed.op";
 constexpr std::uint64_t firstVersion = 1;
@@ -233,9 +235,8 @@
     {
         const auto now = BootClock::now();
 
-        if (const auto previous = std::exchange (m_lastStep, now);
-            now - previous > minStandstill && previous != Time())
-            m_runHistory.onStandstill (previous, now);
+        if (const auto standstill = m_standstills.onStep (now))
+            m_runHistory.onStandstill (standstill->m_from, standstill->m_until);
 
         for (auto& node : m_nodes)
         {
@@ -253,8 +254,9 @@
         while (m_nextFault <= now && now < m_end)
             startFault();
 
-        if (FLAGS_standstill_ms > 0 && now >= m_runHistory.calmSince() + standstillDelay && now >= m_end)
-            standStill (Milliseconds (std::exchange (FLAGS_standstill_ms, 0)));
+        if (m_standstillLeft > Duration::zero() && now >= m_end &&
+            now >= m_nextStandstill.value_or (m_runHistory.calmSince() + standstillDelay))
+            standStill();
 
         while (FLAGS_conditions && m_nextCondition <= now && now < m_end)
             stateCondition();
@@ -389,9 +391,15 @@
                     node.name());
     }
 
-    /** Stops all nodes and this process, with all clients, targets and proxies. */
-    void standStill (Duration duration)
+    /** Stops all nodes and this process, with all clients, targets and proxies, for the next slice of the
+        standstill. */
+    void standStill()
     {
+        const auto duration =
+            FLAGS_standstill_slice_ms > 0
+                ? std::min (m_standstillLeft, Duration (Milliseconds (FLAGS_standstill_slice_ms)))
+                : m_standstillLeft;
+
         for (auto& node : m_nodes)
             node->signal (SIGSTOP);
 
@@ -399,6 +407,9 @@
 
         for (auto& node : m_nodes)
             node->signal (SIGCONT);
+
+        m_standstillLeft -= duration;
+        m_nextStandstill = BootClock::now() + timeBetweenSlices;
     }
 
     void inject (FaultKind kind, SoakNode& node, Duration duration)
@@ -503,7 +514,9 @@
     Time m_nextFault;
     Time m_nextRequest;
     Time m_nextCondition;
-    Time m_lastStep;
+    StandstillDetector m_standstills;
+    Duration m_standstillLeft = Milliseconds (FLAGS_standstill_ms); /**< that is asked for */
+    std::optional<Time> m_nextStandstill;                           /**< nullopt until the first one */
 };
 
 } // namespace plankledge::soak
