Bound what lies unread behind a request in progress

What callers see: clients that send a request and then more without end make the node exceed its machine's memory (unread bytes count there), without any request above a limit.

Cause: while a request runs that may not be overtaken, its connection is not read. The system's receive buffer grows as it fills, also then: 0.2 to 0.9 MB a connection were seen.

Change: connections accepted by HttpServer have a receive buffer of fixed size, 32 KB, which the system counts as 64 KB.

--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -47,6 +47,10 @@
 /** What is read and discarded behind a refused request: the largest body, and this for what exceeds it. */
 constexpr std::size_t discardedExcessBytes = 8U << 20U;
 
+/** Receive buffer of a connection, in bytes; the system doubles it for its own use. Without a fixed size it
+    grows, while nothing is read, by what clients send behind a request that runs. */
+constexpr int receiveBufferBytes = 32 << 10;
+
 /** Bounds for connections on which requests may run at the same time. Eight hide the durations of several
     requests from a caller. The bytes of bodies are bounded since a node has 160 MB of memory for up to 4,100
     descriptors. */
@@ -644,6 +648,9 @@
     if (auto status = openAcceptor (m_implementation->m_acceptor, endpoint); ! status.ok())
         return status;
 
+    boost::system::error_code ignored;
+    m_implementation->m_acceptor.set_option (asio::socket_base::receive_buffer_size (receiveBufferBytes),
+                                             ignored); // accepted sockets inherit it
     asio::co_spawn (m_implementation->m_context, m_implementation->acceptLoop(), asio::detached);
     return absl::OkStatus();
 }
--- a/tests/untrusted/UntrustedClients_test.cpp
+++ b/tests/untrusted/UntrustedClients_test.cpp
@@ -152,6 +152,16 @@
     checkServing (scenario, std::move (crowd));
 }
 
+// Guards against the system's buffers for received bytes, which grow as they fill.
+TEST_CASE ("bytes sent ahead behind a request in progress")
+{
+    CrowdScenario scenario ({ 32, 1024 });
+    const std::string piece (largeChunk, 'a');
+    checkCrowd (
+        scenario.entry().outbound(), scenario, 2 * crowdSize,
+        { CrowdScenario::makeHead ("POST", "/write/slow") + "\r\n", piece, endlessBytes / piece.size(), {} });
+}
+
 //==============================================================================
 TEST_CASE ("unfinished bodies at the control port")
 {
