--- a/tests/runtime/RequestRefusals_test.cpp
+++ b/tests/runtime/RequestRefusals_test.cpp
@@ -54,8 +54,7 @@
         m_socket.connect ({ asio::ip::make_address (endpoint.m_ip), endpoint.m_port });
     }
 
-    /** @returns the bytes that the client received until the connection was closed in order; empty after a
-     * reset */
+    /** @returns the bytes received until the connection was closed in order; empty after a reset */
     std::string receive (const std::string& request)
     {
         std::string received;
