Charge what a message being received has reserved, not what it wrote

Cause: charged the bytes written to a body in place of its capacity. Beast's string body, which reads targets' responses, reserves the announced length at once: 100 responses of 1 MiB reserved 100 MiB while the account held a third of it, and memory ran out.

Change: the capacity is charged again, as before. A body with a length reserves that length at most, so that one of the configured size still fits.

--- a/modules/plankledge_runtime/MessageReader.h
+++ b/modules/plankledge_runtime/MessageReader.h
@@ -91,10 +91,7 @@
 
         progress.m_isHeaderDone = parser.is_header_done();
         progress.m_hasBegun = progress.m_isHeaderDone || parser.got_some() || buffer.size() > 0;
-
-        // Memory that is reserved but was never written takes none.
-        const auto& body = parser.get().body();
-        progress.m_held = buffer.capacity() + std::min (body.capacity(), body.size() + bodyReadSize);
+        progress.m_held = buffer.capacity() + parser.get().body().capacity();
 
         if (beforeRead)
             if (const auto error = beforeRead (progress))
