Discard a target's response whose status ends no exchange

What callers saw: a target in trouble sent a status of 000, and the client got it as the target's answer, with its stamp; likewise every other status below 100 or above 599, and 101 although nobody asked for another protocol.

Cause: Boost.Beast takes any three digits for a status, and the client of the target passed on whatever Beast had parsed. Such an answer also counted as a good one, so that a target that answers at once with 000 was the fastest of its service and drew the requests of all others to itself.

Change: ResponseReader checks the status as soon as the header section is parsed, with a typed error. The call counts as broken: the client gets 502, the gate's failure rate rises and routing leaves the target. Interim responses are skipped and bounded as such; before, they counted as responses to other requests, and where requests have no ids they were taken for the answer. The error is a field of gate-ended and has a counter, plankledge_target_responses_discarded_total.

--- /dev/null
+++ b/modules/plankledge_core/ResponseError.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace plankledge
+{
+
+//==============================================================================
+/** Why what was received from an HTTP server is not passed on as its response; each value has a counter. */
+enum class ResponseError : std::uint8_t
+{
+    none,
+    incomplete, /**< the connection ended before the response did, or nothing was received */
+    syntax,     /**< not HTTP/1.1 (RFC 9112) */
+    status,     /**< outside 100 to 599, or 101 although no other protocol was asked for */
+    responseErrorCount
+};
+
+/** @returns the name used in logs and metrics, e.g. "incomplete" */
+std::string_view nameOf (ResponseError error) noexcept;
+
+} // namespace plankledge
--- a/modules/plankledge_load/LoadRunner.cpp
+++ b/modules/plankledge_load/LoadRunner.cpp
@@ -142,7 +142,7 @@
             return;
 
         current.m_client->cancelRequest (index);
-        onAnswer (index, TargetFailure::broken);
+        onAnswer (index, CallFailure { TargetFailure::broken, ResponseError::incomplete });
     });
 }
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "plankledge_core/PeerMessages.h"
+#include "plankledge_core/ResponseError.h"
+
 #include <optional>
 #include <string>
 #include <variant>
@@ -329,12 +331,13 @@
     TargetReplyKind m_kind = TargetReplyKind::broken;
     RelayedAnswer m_answer;
     std::optional<TargetCondition> m_condition {}; /**< nullopt: no answer was received */
+    ResponseError m_error = ResponseError::none;   /**< if broken: why the answer was discarded */
 
     auto operator<=> (const TargetReply&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_call, m_kind, m_answer, m_condition);
+        archive (m_call, m_kind, m_answer, m_condition, m_error);
     }
 };
 
--- a/modules/plankledge_policy/relay/gate/GateLog.cpp
+++ b/modules/plankledge_policy/relay/gate/GateLog.cpp
@@ -52,13 +52,14 @@
                { "running", number (running) } } };
 }
 
-LogDecision logFailedDispatch (const GateCall& call, const TargetId& target, Reason reason,
-                               std::size_t running, Time now)
+LogDecision logFailedDispatch (const GateCall& call, const FailedDispatch& failed, std::size_t running,
+                               Time now)
 {
     return { Decision::gateEnded,
              call.m_request.m_content.m_id,
-             { { "reason", std::string (nameOf (reason)) },
-               { "target", target },
+             { { "reason", std::string (nameOf (failed.m_reason)) },
+               { "error", std::string (nameOf (failed.m_error)) },
+               { "target", failed.m_target },
                { "content", digest (call.m_request.m_digest) },
                { "running", number (running) },
                { "ran_ms", milliseconds (now - call.m_dispatchedAt) } } };
--- a/modules/plankledge_policy/relay/gate/GateLog.h
+++ b/modules/plankledge_policy/relay/gate/GateLog.h
@@ -48,12 +48,20 @@
                             const RateLimitAt& limit);
 LogDecision logDispatched (const GateCall& call, const TargetId& target, std::size_t running);
 
-/** The target rejected the request, could not be reached or broke off its answer.
+/** Why a dispatch has no answer. */
+struct FailedDispatch
+{
+    const TargetId& m_target;
+    Reason m_reason = Reason::none;
+    ResponseError m_error = ResponseError::none; /**< what was wrong with the answer that was discarded */
+};
+
+/** The target rejected the request, could not be reached, or did not send a complete answer.
 
     @param running   number of other requests running at the target
 */
-LogDecision logFailedDispatch (const GateCall& call, const TargetId& target, Reason reason,
-                               std::size_t running, Time now);
+LogDecision logFailedDispatch (const GateCall& call, const FailedDispatch& failed, std::size_t running,
+                               Time now);
 
 /** The gate ended the request without an answer from the target. */
 LogDecision logEnded (const GateCall& call, Reason reason, const RateLimitAt& limit);
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -311,7 +311,8 @@
     updateCrashGuard (turn, call, reply.m_kind);
 
     if (! isAnswered)
-        turn.emit (detail::logFailedDispatch (call, m_target.id(), result.m_reason, m_running, turn.now()));
+        turn.emit (detail::logFailedDispatch (call, { m_target.id(), result.m_reason, reply.m_error },
+                                              m_running, turn.now()));
 
     updateOpen (turn);
     answer (turn, call.m_caller, call.m_request.m_route, std::move (result));
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -112,6 +112,7 @@
     appendCounter (text, "calls_not_queued_total", metrics.m_callsNotQueued);
     appendCounter (text, "peer_calls_refused_total", metrics.m_peerCallsRefused);
     appendCounter (text, "target_broken_total", metrics.m_brokenTargetCalls);
+    appendCounters (text, "target_responses_discarded_total", metrics.m_discardedResponses);
     appendCounter (text, "target_connections_total", metrics.m_targetConnections);
     appendCounter (text, "target_stray_responses_total", metrics.m_strayTargetResponses);
     appendCounter (text, "control_frame_bytes_total", traffic.m_frames);
--- a/modules/plankledge_runtime/NodeMetrics.h
+++ b/modules/plankledge_runtime/NodeMetrics.h
@@ -5,6 +5,7 @@
 #include "plankledge_runtime/CallerHttp.h"
 #include "plankledge_runtime/HttpServer.h"
 #include "plankledge_runtime/ProcessResources.h"
+#include "plankledge_runtime/TargetClient.h"
 #include "plankledge_wire/WireError.h"
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
@@ -57,12 +58,24 @@
     std::uint64_t m_callsNotQueued = 0;   /**< not sent to a peer, since there was no room in its queue */
     std::uint64_t m_peerCallsRefused = 0; /**< peers' calls for which there was no memory */
     std::uint64_t m_brokenTargetCalls = 0;
+    Counters::By<ResponseError, ResponseError::responseErrorCount>
+        m_discardedResponses;              /**< of the target, by the rule that they break */
     std::uint64_t m_targetConnections = 0; /**< opened to the target, by nodes that serve relayed requests */
     std::uint64_t m_strayTargetResponses = 0; /**< skipped, since they belong to no request in progress */
     std::uint64_t m_requestsReadAhead = 0; /**< read while earlier ones of the connection were unanswered */
     std::size_t m_maxRequestsOnConnection =
         0;                           /**< unanswered at once, since the start; 0 if none read ahead */
     DurationQuantiles m_requestTime; /**< from a request's arrival to its response */
+
+    /** Counts a call to the target that was sent and has no complete response; no others. */
+    void countBrokenCall (const CallFailure& failure) noexcept
+    {
+        if (failure.m_failure != TargetFailure::broken)
+            return;
+
+        ++m_brokenTargetCalls;
+        ++m_discardedResponses[failure.m_error];
+    }
 };
 
 /** Bytes of control traffic since the start, by transport. */
--- a/modules/plankledge_runtime/RelayTargetEdge.cpp
+++ b/modules/plankledge_runtime/RelayTargetEdge.cpp
@@ -25,11 +25,12 @@
     m_metrics.m_strayTargetResponses = m_client.strayResponses();
     TargetReply reply;
 
-    if (const auto* failure = std::get_if<TargetFailure> (&result))
+    if (const auto* failure = std::get_if<CallFailure> (&result))
     {
-        const bool isBroken = *failure == TargetFailure::broken;
-        m_metrics.m_brokenTargetCalls += isBroken ? 1 : 0;
-        reply.m_kind = isBroken ? TargetReplyKind::broken : TargetReplyKind::notSent;
+        m_metrics.countBrokenCall (*failure);
+        reply.m_kind =
+            failure->m_failure == TargetFailure::broken ? TargetReplyKind::broken : TargetReplyKind::notSent;
+        reply.m_error = failure->m_error;
     }
     else
     {
--- /dev/null
+++ b/modules/plankledge_runtime/ResponseReader.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "plankledge_core/ResponseError.h"
+#include "plankledge_runtime/MessageReader.h"
+
+#include <variant>
+
+/** Reads HTTP responses. Internal to the HTTP clients. */
+namespace plankledge::detail
+{
+
+//==============================================================================
+/** A Boost.Beast parser that also checks what Beast leaves to its users: whether the response has a status
+    that a client can interpret (RFC 9110, section 15). */
+class ResponseParser : public boost::beast::http::response_parser<boost::beast::http::string_body>
+{
+public:
+    //==============================================================================
+    /** @returns the rule that the response breaks; none: Beast alone decides */
+    ResponseError violation() const noexcept { return m_violation; }
+
+    /** @returns whether another response to the same request follows */
+    bool isInterim() const { return get().result_int() < firstFinalStatus; }
+
+private:
+    //==============================================================================
+    static constexpr unsigned firstFinalStatus = 200;
+
+    void on_header_impl (boost::beast::error_code& error) override;
+
+    ResponseError m_violation = ResponseError::none;
+};
+
+//==============================================================================
+/** Bounds and hooks for the response to one request. */
+struct ResponseOptions
+{
+    bool m_isHead = false; /**< it answers a HEAD request, and so has no body */
+    std::size_t m_maxBody = maxBodyBytes;
+    BeforeRead m_beforeRead = nullptr; /**< may be empty */
+};
+
+/** A complete final response. */
+struct ReceivedResponse
+{
+    HttpResponse m_response;
+    bool m_endsWithConnection = false; /**< it has no length: whether it is complete depends on how the
+                                          connection ended (RFC 9112, section 8) */
+};
+
+/** Why there is no response. */
+struct ResponseFailure
+{
+    ResponseError m_error = ResponseError::none;
+    boost::beast::error_code m_cause; /**< reported by the connection or by Beast */
+};
+
+/** Reads the next final response; interim responses (100 to 199) before it are skipped.
+
+    @param buffer   bytes that were received but not parsed
+
+    @returns the response, or why it is discarded; the connection can't be used again after that
+*/
+boost::asio::awaitable<std::variant<ReceivedResponse, ResponseFailure>>
+readResponse (boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer, ResponseOptions options);
+
+} // namespace plankledge::detail
--- a/modules/plankledge_runtime/TargetClient.cpp
+++ b/modules/plankledge_runtime/TargetClient.cpp
@@ -1,8 +1,8 @@
 #include "plankledge_runtime/TargetClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
-#include "plankledge_runtime/MessageReader.h"
 #include "plankledge_runtime/RequestWriter.h"
+#include "plankledge_runtime/ResponseReader.h"
 #include <absl/strings/numbers.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -110,12 +110,13 @@
         const bool isHead = message.method() == http::verb::head;
         const auto writer = std::make_shared<detail::RequestWriter> (connection, std::move (message));
         writer->start();
-        auto response = co_await readResponse (connection->stream(), *writer, id, isHead, charge);
+        auto result = co_await readResponse (connection->stream(), *writer, id, isHead, charge);
 
         if (m_active.erase (call) == 0)
             co_return; // cancelled in the meantime
 
-        const bool isReusable = response.has_value() && ! response->m_closesConnection &&
+        const auto* response = std::get_if<HttpResponse> (&result);
+        const bool isReusable = response != nullptr && ! response->m_closesConnection &&
                                 writer->isComplete() && ! connection->hasReachedLimit();
 
         if (isReusable)
@@ -123,42 +124,36 @@
         else
             connection->stream().close(); // ends the writing too
 
-        if (! response.has_value())
-            co_return m_done (call, TargetFailure::broken);
-
-        m_done (call, std::move (*response));
+        m_done (call, std::move (result));
     }
 
     /** @param id       of the request; nullopt: requests have none
         @param charge   grows with the response; whoever passed the request on charges for its body
 
-        @returns the complete response to the request, or nullopt if none was received
+        @returns the complete response to the request, or why there is none
     */
-    asio::awaitable<std::optional<HttpResponse>> readResponse (beast::tcp_stream& stream,
-                                                               detail::RequestWriter& writer,
-                                                               std::optional<std::string> id, bool isHead,
-                                                               MemoryCharge& charge)
+    asio::awaitable<Result> readResponse (beast::tcp_stream& stream, detail::RequestWriter& writer,
+                                          std::optional<std::string> id, bool isHead, MemoryCharge& charge)
     {
         beast::flat_buffer buffer;
-        const auto beforeRead = [this, &charge] (const detail::ReadProgress& progress) {
+        const detail::BeforeRead beforeRead = [this, &charge] (const detail::ReadProgress& progress) {
             return resizeCharge (charge, progress.m_held);
         };
 
         for (unsigned strayResponses = 0; strayResponses <= maxStrayResponses; ++strayResponses)
         {
-            http::response_parser<http::string_body> parser;
-            parser.body_limit (maxBodyBytes);
-            parser.skip (isHead);
+            auto result =
+                co_await detail::readResponse (stream, buffer, { isHead, maxBodyBytes, beforeRead });
 
-            if (co_await detail::readMessage (stream, buffer, parser, maxHeaderBytes, beforeRead))
-                co_return std::nullopt;
+            if (const auto* failure = std::get_if<detail::ResponseFailure> (&result))
+                co_return brokenCall (failure->m_error);
 
-            // A response that ends with the stream is incomplete if the connection was reset (RFC 9112,
-            // section 8).
-            if (parser.need_eof() && ! co_await writer.stop())
-                co_return std::nullopt;
+            auto& received = std::get<detail::ReceivedResponse> (result);
+            auto& response = received.m_response;
 
-            auto response = toResponse (parser.release());
+            // A response that ends with the stream is incomplete if the connection was reset.
+            if (received.m_endsWithConnection && ! co_await writer.stop())
+                co_return brokenCall (ResponseError::incomplete);
 
             if (id.has_value() && m_idOf (response.m_headers) != *id)
             {
@@ -168,15 +163,17 @@
 
             // Bytes after the response: its length is wrong, or it was sent twice.
             if (buffer.size() > 0 && ! id.has_value())
-                co_return std::nullopt;
+                co_return brokenCall (ResponseError::syntax);
 
             response.m_closesConnection = response.m_closesConnection || buffer.size() > 0;
-            co_return response;
+            co_return std::move (response);
         }
 
-        co_return std::nullopt;
+        co_return brokenCall (ResponseError::syntax);
     }
 
+    static CallFailure brokenCall (ResponseError error) noexcept { return { TargetFailure::broken, error }; }
+
     /** @returns an error if there is no room */
     beast::error_code resizeCharge (MemoryCharge& charge, std::size_t bytes) const
     {
@@ -203,7 +200,7 @@
         if (error)
         {
             if (m_active.erase (call) > 0)
-                m_done (call, TargetFailure::connectionRefused);
+                m_done (call, CallFailure { TargetFailure::connectionRefused });
 
             co_return nullptr;
         }
--- a/modules/plankledge_runtime/TargetClient.h
+++ b/modules/plankledge_runtime/TargetClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plankledge_core/Identity.h"
+#include "plankledge_core/ResponseError.h"
 #include "plankledge_policy/Events.h"
 #include "plankledge_runtime/Http.h"
 #include "plankledge_runtime/ProcessResources.h"
@@ -16,6 +17,15 @@
 namespace plankledge
 {
 
+/** Why a call has no response. */
+struct CallFailure
+{
+    TargetFailure m_failure = TargetFailure::broken;
+    ResponseError m_error = ResponseError::none; /**< what was wrong with the response, if it is broken */
+
+    auto operator<=> (const CallFailure&) const = default;
+};
+
 //==============================================================================
 /**
     Sends calls to the local target over a pool of HTTP/1.1 connections, one call at a time on
@@ -26,6 +36,8 @@
     unsolicited bytes. A failure after any byte of a call may have been sent is
     TargetFailure::broken.
 
+    Responses that break a rule of HTTP/1.1 are discarded, and interim responses are skipped.
+
     A complete response is passed on as soon as it has been received, also if the request has not
     been written whole; the connection is then closed. A response without a length is complete if
     the target has closed the connection in order.
@@ -37,7 +49,7 @@
 {
 public:
     //==============================================================================
-    using Result = std::variant<HttpResponse, TargetFailure>;
+    using Result = std::variant<HttpResponse, CallFailure>;
 
     /** Called exactly once for each call that is not cancelled. */
     using Done = std::function<void (CallId call, Result result)>;
--- a/modules/plankledge_runtime/TargetEdge.cpp
+++ b/modules/plankledge_runtime/TargetEdge.cpp
@@ -53,14 +53,14 @@
 
 void TargetEdge::onDone (CallId call, TargetClient::Result result)
 {
-    if (const auto* failure = std::get_if<TargetFailure> (&result))
+    if (const auto* failure = std::get_if<CallFailure> (&result))
     {
-        if (*failure == TargetFailure::broken)
-            ++m_metrics.m_brokenTargetCalls;
-        else
+        m_metrics.countBrokenCall (*failure);
+
+        if (failure->m_failure == TargetFailure::connectionRefused)
             m_state = TargetState::unreachable;
 
-        return m_node.submit (TargetFailed { call, *failure });
+        return m_node.submit (TargetFailed { call, failure->m_failure });
     }
 
     auto& response = std::get<HttpResponse> (result);
--- /dev/null
+++ b/tests/responses/MalformedResponses_test.cpp
@@ -0,0 +1,93 @@
+/*  What clients get, and where requests go, when targets send bytes that are no response: real processes. */
+
+#include "responses/ResponseScenario.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+/** A response that is not one. */
+struct Shape
+{
+    std::string m_name;
+    RawResponse m_response;
+};
+
+/** @returns a response with a status line and further fields, which is complete but for these */
+RawResponse makeResponse (const std::string& statusLine, const std::string& fields = {})
+{
+    return { fmt::format (
+        "{}\r\nRequest-Id: {{id}}\r\nServer-Stamp: stamp\r\n{}Content-Length: 4\r\n\r\nbody", statusLine,
+        fields) };
+}
+
+/** Sends one repeatable request and one that isn't for each shape, and checks that none of the bytes reach
+   the client. */
+void checkShapes (const std::vector<Shape>& shapes)
+{
+    RawResponse response;
+    ResponseScenario scenario ({ [&response] (const std::string&) { return response; } });
+
+    for (const auto& shape : shapes)
+    {
+        for (const std::string method : { "GET", "POST" })
+        {
+            CAPTURE (shape.m_name);
+            CAPTURE (method);
+            response = shape.m_response;
+            const auto bytes = scenario.exchange (method, method == "GET" ? "/read/x" : "/write/x");
+            CAPTURE (bytes);
+            CHECK (isOwnAnswer (bytes, 502));
+        }
+    }
+
+    response = makeResponse ("HTTP/1.1 200 OK");
+    CHECK (scenario.exchange ("GET", "/read/x").ends_with ("\r\n\r\nbody"));
+}
+
+} // namespace
+
+//==============================================================================
+// Guards against a status that no client can interpret, passed on as the answer of a target.
+TEST_CASE ("statuses that end no exchange")
+{
+    const std::string fields = "Request-Id: {id}\r\nServer-Stamp: stamp\r\n";
+    std::vector<Shape> shapes {
+        { "chunked",
+          { "HTTP/1.1 000 X\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" } },
+        { "until the connection is closed", { "HTTP/1.1 000 X\r\n" + fields + "\r\nbody", {}, true } },
+        { "empty", { "HTTP/1.1 000 X\r\n" + fields + "Content-Length: 0\r\n\r\n" } },
+        { "switching protocols, not asked for",
+          { "HTTP/1.1 101 Switching Protocols\r\n" + fields + "Upgrade: x\r\nConnection: upgrade\r\n\r\n" } },
+    };
+
+    for (const auto* status : { "000", "001", "099", "600", "700", "999" })
+        shapes.push_back ({ status, makeResponse (fmt::format ("HTTP/1.1 {} X", status)) });
+
+    checkShapes (shapes);
+}
+
+// Guards against a target that attracts the requests of its service, since it answers at once with bytes that
+// are no response.
+TEST_CASE ("requests go to the sound one of two targets")
+{
+    ResponseScenario scenario ({ [] (const std::string&) { return makeResponse ("HTTP/1.1 000 X"); },
+                                 [] (const std::string&) {
+                                     auto response = makeResponse ("HTTP/1.1 200 OK");
+                                     response.m_delay = std::chrono::milliseconds (50);
+                                     return response;
+                                 } });
+    const auto before = scenario.target (0).requests();
+    const auto served = scenario.exchangeAtOnce (16, 60);
+    MESSAGE ("served ", served, " of 960, sent to the broken target ",
+             scenario.target (0).requests() - before);
+    CHECK (scenario.target (0).requests() - before < 96);
+    CHECK (served > 864);
+}
+
+} // namespace plankledge::test
--- a/tests/runtime/EarlyResponse_test.cpp
+++ b/tests/runtime/EarlyResponse_test.cpp
@@ -180,8 +180,8 @@
 
     bool isBroken() const
     {
-        const auto* failure = m_result.has_value() ? std::get_if<TargetFailure> (&*m_result) : nullptr;
-        return failure != nullptr && *failure == TargetFailure::broken;
+        const auto* failure = m_result.has_value() ? std::get_if<CallFailure> (&*m_result) : nullptr;
+        return failure != nullptr && failure->m_failure == TargetFailure::broken;
     }
 
     asio::io_context m_context;
--- /dev/null
+++ b/tests/runtime/ResponseReader_test.cpp
@@ -0,0 +1,234 @@
+/*  Which bytes of a server the HTTP clients take for a response. */
+
+#include "plankledge_runtime/HttpClient.h"
+#include "plankledge_runtime/TargetClient.h"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+namespace plankledge::test
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::string_view idHeader = "Id";
+
+std::string_view idOf (const HttpHeaders& headers)
+{
+    return findHeader (headers, idHeader);
+}
+
+//==============================================================================
+/** Sends the same bytes to each request and closes the connection in order. */
+class RawServer
+{
+public:
+    explicit RawServer (asio::io_context& context)
+        : m_acceptor (context, tcp::endpoint (asio::ip::make_address ("127.0.0.1"), 0))
+    {
+        accept();
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    void setBytes (std::string bytes) { m_bytes = std::move (bytes); }
+
+private:
+    struct Connection
+    {
+        explicit Connection (tcp::socket socket)
+            : m_socket (std::move (socket))
+        {
+        }
+
+        tcp::socket m_socket;
+        std::string m_input;
+        std::string m_output;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept ([this] (const boost::system::error_code& error, tcp::socket socket) {
+            if (error)
+                return;
+
+            respond (std::make_shared<Connection> (std::move (socket)));
+            accept();
+        });
+    }
+
+    void respond (const std::shared_ptr<Connection>& connection)
+    {
+        asio::async_read_until (
+            connection->m_socket, asio::dynamic_buffer (connection->m_input), "\r\n\r\n",
+            [this, connection] (const boost::system::error_code& error, std::size_t) {
+                if (error)
+                    return;
+
+                connection->m_output = m_bytes;
+                asio::async_write (connection->m_socket, asio::buffer (connection->m_output),
+                                   [connection] (const boost::system::error_code&, std::size_t) {
+                                       boost::system::error_code ignored;
+                                       connection->m_socket.shutdown (tcp::socket::shutdown_send, ignored);
+                                   });
+            });
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_bytes;
+};
+
+//==============================================================================
+/** Both clients of a server. */
+struct Clients
+{
+    /** @param hasIds   whether requests have ids
+
+        @returns the response to a call, or what was wrong with it
+    */
+    std::variant<HttpResponse, ResponseError> call (const std::string& bytes, bool hasIds,
+                                                    const std::string& method = "GET")
+    {
+        m_server.setBytes (bytes);
+        std::optional<TargetClient::Result> result;
+        TargetClient client (
+            m_context, [&result] (CallId, TargetClient::Result done) { result = std::move (done); },
+            hasIds ? TargetClient::IdOf (idOf) : nullptr);
+        HttpRequest request;
+        request.m_method = method;
+        request.m_headers.emplace_back (std::string (idHeader), "1");
+        client.send (1, m_server.endpoint(), std::move (request));
+        runUntil ([&result] { return result.has_value(); });
+        REQUIRE (result.has_value());
+
+        if (const auto* failure = std::get_if<CallFailure> (&*result))
+            return failure->m_error;
+
+        return std::get<HttpResponse> (*result);
+    }
+
+    absl::StatusOr<HttpResponse> request (const std::string& bytes)
+    {
+        m_server.setBytes (bytes);
+        std::optional<absl::StatusOr<HttpResponse>> result;
+        HttpClient client (m_context);
+        client.send (m_server.endpoint(), HttpRequest(), std::chrono::seconds (5),
+                     [&result] (absl::StatusOr<HttpResponse> done) { result = std::move (done); });
+        runUntil ([&result] { return result.has_value(); });
+        REQUIRE (result.has_value());
+        return *std::move (result);
+    }
+
+private:
+    void runUntil (const std::function<bool()>& condition)
+    {
+        const auto end = BootClock::now() + std::chrono::seconds (10);
+
+        while (! condition() && BootClock::now() < end)
+        {
+            m_context.restart();
+            m_context.run_one_for (std::chrono::milliseconds (20));
+        }
+    }
+
+    asio::io_context m_context { 1 };
+    RawServer m_server { m_context };
+};
+
+/** @returns a response that is complete but for its status line and further fields */
+std::string makeResponse (const std::string& statusLine, const std::string& fields = {})
+{
+    return fmt::format ("{}\r\nId: 1\r\n{}Content-Length: 4\r\n\r\nbody", statusLine, fields);
+}
+
+const HttpResponse* responseOf (const std::variant<HttpResponse, ResponseError>& result)
+{
+    return std::get_if<HttpResponse> (&result);
+}
+
+ResponseError errorOf (const std::variant<HttpResponse, ResponseError>& result)
+{
+    const auto* error = std::get_if<ResponseError> (&result);
+    return error != nullptr ? *error : ResponseError::none;
+}
+
+} // namespace
+
+//==============================================================================
+// Guards against a status that no client can interpret, and against an interim response or a switch of
+// protocols that is taken for the answer.
+TEST_CASE ("a response has a status from 200 to 599")
+{
+    Clients clients;
+
+    for (unsigned status = 0; status < 1000; status += status < 195 || status > 605 ? 1 : 23)
+    {
+        CAPTURE (status);
+        const bool isInterim = status >= 100 && status < 200 && status != 101;
+        const bool isBodiless = status == 204 || status == 304;
+
+        if (isInterim || isBodiless)
+            continue; // below
+
+        for (const bool hasIds : { false, true })
+        {
+            const auto result =
+                clients.call (makeResponse (fmt::format ("HTTP/1.1 {:03} X", status)), hasIds);
+            const bool isFinal = status >= 200 && status < 600;
+            CHECK ((responseOf (result) != nullptr) == isFinal);
+            CHECK ((errorOf (result) == ResponseError::status) == ! isFinal);
+        }
+    }
+}
+
+TEST_CASE ("interim responses are skipped, with and without ids")
+{
+    Clients clients;
+    const std::string hint = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    const std::string proceed = "HTTP/1.1 100 Continue\r\nId: 1\r\n\r\n";
+    const auto final = makeResponse ("HTTP/1.1 200 OK");
+
+    for (const bool hasIds : { false, true })
+    {
+        CAPTURE (hasIds);
+
+        for (const auto& interim : { proceed, hint, proceed + hint + hint + hint + hint })
+        {
+            const auto result = clients.call (interim + final, hasIds);
+            REQUIRE (responseOf (result) != nullptr);
+            CHECK (responseOf (result)->m_status == 200);
+            CHECK (responseOf (result)->m_body == "body");
+        }
+
+        CHECK (errorOf (clients.call (proceed, hasIds)) == ResponseError::incomplete);
+        std::string endless;
+
+        for (int number = 0; number < 100; ++number)
+            endless += hint;
+
+        CHECK (errorOf (clients.call (endless + final, hasIds)) == ResponseError::syntax);
+    }
+}
+
+TEST_CASE ("responses without a body are complete after their header section")
+{
+    Clients clients;
+
+    for (const auto* status : { "204 No Content", "304 Not Modified" })
+    {
+        CAPTURE (status);
+        const auto result = clients.call (fmt::format ("HTTP/1.1 {}\r\nId: 1\r\n\r\n", status), true);
+        REQUIRE (responseOf (result) != nullptr);
+        CHECK (responseOf (result)->m_body.empty());
+    }
+
+    const auto head = clients.call ("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\n", true, "HEAD");
+    REQUIRE (responseOf (head) != nullptr);
+    CHECK (responseOf (head)->m_body.empty());
+}
+
+} // namespace plankledge::test
--- a/tests/untrusted/StubTarget.cpp
+++ b/tests/untrusted/StubTarget.cpp
@@ -1,5 +1,6 @@
 #include "untrusted/StubTarget.h"
 
+#include <absl/strings/str_replace.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,11 +29,12 @@
 
 } // namespace
 
-StubTarget::StubTarget (asio::io_context& context, const NodeProcess& node)
+StubTarget::StubTarget (asio::io_context& context, const NodeProcess& node, MakeResponse makeResponse)
     : m_context (context)
     , m_options (node.options())
     , m_listen (node.target())
     , m_control (node.control())
+    , m_makeResponse (std::move (makeResponse))
     , m_acceptor (context, { asio::ip::make_address (m_listen.m_ip), m_listen.m_port })
     , m_timer (context)
     , m_client (context)
@@ -75,12 +77,17 @@
         if (target.ends_with ("/endless"))
             co_return co_await sendEndless (socket, id);
 
-        if (target.ends_with ("/slow"))
+        if (auto raw = m_makeResponse ? m_makeResponse (target) : std::nullopt; raw.has_value())
         {
-            asio::steady_timer timer (m_context, slowDuration);
-            co_await timer.async_wait (asio::use_awaitable);
+            if (! co_await sendRaw (socket, *std::move (raw), id))
+                co_return;
+
+            continue;
         }
 
+        if (target.ends_with ("/slow"))
+            co_await wait (slowDuration);
+
         http::response<http::string_body> response (http::status::ok, 11);
         response.set ("Request-Id", id);
 
@@ -95,6 +102,36 @@
     }
 }
 
+/** @returns whether the connection is still open */
+asio::awaitable<bool> StubTarget::sendRaw (tcp::socket& socket, RawResponse response, std::string id)
+{
+    co_await wait (response.m_delay);
+    auto bytes = absl::StrReplaceAll (response.m_bytes, { { "{id}", id } });
+
+    for (;;)
+    {
+        const auto [error, size] = co_await asio::async_write (socket, asio::buffer (bytes), asTuple);
+
+        if (error || response.m_closes)
+            co_return false;
+
+        if (response.m_repeated.empty())
+            co_return true;
+
+        bytes = absl::StrReplaceAll (response.m_repeated, { { "{id}", id } });
+        co_await wait (response.m_interval);
+    }
+}
+
+asio::awaitable<void> StubTarget::wait (std::chrono::milliseconds duration)
+{
+    if (duration <= std::chrono::milliseconds::zero())
+        co_return;
+
+    asio::steady_timer timer (m_context, duration);
+    co_await timer.async_wait (asio::use_awaitable);
+}
+
 asio::awaitable<void> StubTarget::sendEndless (tcp::socket& socket, std::string id)
 {
     const std::string trailer = "X-Field: " + std::string (1000, 'x') + "\r\n";
