Discard a target's response with folded lines

What callers saw: a line of a target's header section that began with a blank or a tab was joined to the field before it, so that the client got 200 with a Server-Stamp that the target had not given.

Cause: obsolete line folding. RFC 9112, section 5.2, leaves a gateway to discard such a response or to join the lines; Beast joins them, and the parsed fields don't show it.

Change: readMessage hands on the bytes that the parser has consumed, and ResponseReader finds lines that begin with a blank among those of the header section.

--- a/modules/plankledge_core/ResponseError.h
+++ b/modules/plankledge_core/ResponseError.h
@@ -11,9 +11,10 @@
 enum class ResponseError : std::uint8_t
 {
     none,
-    incomplete, /**< the connection ended before the response did, or nothing was received */
-    syntax,     /**< not HTTP/1.1 (RFC 9112) */
-    status,     /**< outside 100 to 599, or 101 although no other protocol was asked for */
+    incomplete,  /**< the connection ended before the response did, or nothing was received */
+    syntax,      /**< not HTTP/1.1 (RFC 9112) */
+    status,      /**< outside 100 to 599, or 101 although no other protocol was asked for */
+    lineFolding, /**< a line of the header section continues the one before (RFC 9112, section 5.2) */
     responseErrorCount
 };
 
--- a/modules/plankledge_runtime/MessageReader.h
+++ b/modules/plankledge_runtime/MessageReader.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
+#include <string_view>
 
 /** Reads HTTP messages with Boost.Beast in bounded memory. Internal to the servers and clients. */
 namespace plankledge::detail
@@ -32,6 +33,12 @@
 */
 using BeforeRead = std::function<boost::beast::error_code (const ReadProgress&)>;
 
+/** Called with the bytes that a parser has consumed, in their order.
+
+    @returns an error to give the message up
+*/
+using OnConsumed = std::function<boost::beast::error_code (std::string_view bytes)>;
+
 /** Sizes of single reads, in bytes: an ordinary header section, and a part of a body. */
 inline constexpr std::size_t headerReadSize = 2U << 10U;
 inline constexpr std::size_t bodyReadSize = 16U << 10U;
@@ -42,6 +49,7 @@
     @param maxHeader    bytes of a header section, of a trailer section, or of all chunk extensions together
     @param buffer       bytes that were received but not parsed; may hold the start of the message
     @param beforeRead   may be empty
+    @param onConsumed   may be empty
 
     @returns no error if the message is complete; http::error::header_limit or buffer_overflow if its framing
              is too long
@@ -50,7 +58,7 @@
 boost::asio::awaitable<boost::beast::error_code>
 readMessage (boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
              boost::beast::http::parser<isRequest, Body>& parser, std::size_t maxHeader,
-             BeforeRead beforeRead)
+             BeforeRead beforeRead, OnConsumed onConsumed = nullptr)
 {
     namespace http = boost::beast::http;
     constexpr auto asTuple = boost::asio::as_tuple (boost::asio::use_awaitable);
@@ -74,8 +82,13 @@
         {
             boost::beast::error_code error;
             const auto used = parser.put (buffer.data(), error);
+            const std::string_view consumed (static_cast<const char*> (buffer.data().data()), used);
+            const auto rejected = onConsumed ? onConsumed (consumed) : boost::beast::error_code();
             buffer.consume (used);
 
+            if (rejected)
+                co_return rejected;
+
             if (error && error != http::error::need_more)
                 co_return error;
 
--- a/modules/plankledge_runtime/ResponseReader.cpp
+++ b/modules/plankledge_runtime/ResponseReader.cpp
@@ -30,6 +30,37 @@
 } // namespace
 
 //==============================================================================
+bool LineFoldingDetector::consume (std::string_view bytes) noexcept
+{
+    for (const char byte : bytes)
+    {
+        if (m_isDone || m_isFolded)
+            break;
+
+        if (byte == '\n')
+        {
+            m_isDone = m_isAtLineStart;
+            m_isAtLineStart = true;
+            continue;
+        }
+
+        m_isFolded = m_isAtLineStart && (byte == ' ' || byte == '\t');
+        m_isAtLineStart = m_isAtLineStart && byte == '\r';
+    }
+
+    return m_isFolded;
+}
+
+//==============================================================================
+beast::error_code ResponseParser::check (std::string_view bytes) noexcept
+{
+    if (m_violation != ResponseError::none || ! m_lineFolding.consume (bytes))
+        return {};
+
+    m_violation = ResponseError::lineFolding;
+    return http::error::bad_obs_fold;
+}
+
 void ResponseParser::on_header_impl (beast::error_code& error)
 {
     const auto status = get().result_int();
@@ -52,8 +83,10 @@
         parser.body_limit (options.m_maxBody);
         parser.skip (options.m_isHead);
 
+        const OnConsumed check = [&parser] (std::string_view bytes) { return parser.check (bytes); };
+
         if (const auto error =
-                co_await readMessage (stream, buffer, parser, maxHeaderBytes, options.m_beforeRead))
+                co_await readMessage (stream, buffer, parser, maxHeaderBytes, options.m_beforeRead, check))
             co_return ResponseFailure { classify (error, parser.violation()), error };
 
         if (parser.isInterim())
--- a/modules/plankledge_runtime/ResponseReader.h
+++ b/modules/plankledge_runtime/ResponseReader.h
@@ -9,9 +9,29 @@
 namespace plankledge::detail
 {
 
+//==============================================================================
+/** Finds lines of a header section that continue the one before (RFC 9112, section 5.2). Beast joins them, so
+    that the parsed fields don't show it. */
+class LineFoldingDetector
+{
+public:
+    //==============================================================================
+    /** @param bytes   the next ones of the message
+
+        @returns whether a line of the header section has begun with a blank by then
+    */
+    bool consume (std::string_view bytes) noexcept;
+
+private:
+    //==============================================================================
+    bool m_isAtLineStart = true;
+    bool m_isDone = false; /**< the header section is over */
+    bool m_isFolded = false;
+};
+
 //==============================================================================
 /** A Boost.Beast parser that also checks what Beast leaves to its users: whether the response has a status
-    that a client can interpret (RFC 9110, section 15). */
+    that a client can interpret (RFC 9110, section 15), and whether its lines are folded. */
 class ResponseParser : public boost::beast::http::response_parser<boost::beast::http::string_body>
 {
 public:
@@ -19,6 +39,12 @@
     /** @returns the rule that the response breaks; none: Beast alone decides */
     ResponseError violation() const noexcept { return m_violation; }
 
+    /** Checks bytes that the parser has consumed.
+
+        @returns an error if the response breaks a rule
+    */
+    boost::beast::error_code check (std::string_view bytes) noexcept;
+
     /** @returns whether another response to the same request follows */
     bool isInterim() const { return get().result_int() < firstFinalStatus; }
 
@@ -29,6 +55,7 @@
     void on_header_impl (boost::beast::error_code& error) override;
 
     ResponseError m_violation = ResponseError::none;
+    LineFoldingDetector m_lineFolding;
 };
 
 //==============================================================================
--- a/tests/responses/MalformedResponses_test.cpp
+++ b/tests/responses/MalformedResponses_test.cpp
@@ -72,6 +72,30 @@
     checkShapes (shapes);
 }
 
+// Guards against a header section that is passed on, or given another meaning, although its lines are no
+// fields.
+TEST_CASE ("lines that are no fields")
+{
+    const auto* const statusLine = "HTTP/1.1 200 OK";
+    std::vector<Shape> shapes {
+        { "a blank in a name", makeResponse (statusLine, "X Y: 1\r\n") },
+        { "a tab in a name", makeResponse (statusLine, "X\tY: 1\r\n") },
+        { "a blank before the colon", makeResponse (statusLine, "X : 1\r\n") },
+        { "NUL in a name", makeResponse (statusLine, std::string ("X\0Y: 1\r\n", 8)) },
+        { "a control byte in a name", makeResponse (statusLine, "X\x01Y: 1\r\n") },
+        { "DEL in a name", makeResponse (statusLine, "X\x7fY: 1\r\n") },
+        { "no name", makeResponse (statusLine, ": 1\r\n") },
+        { "no colon", makeResponse (statusLine, "X\r\n") },
+        { "a control byte in a value", makeResponse (statusLine, "X: 1\x01\r\n") },
+        { "a line feed in a value", makeResponse (statusLine, "X: 1\n2\r\n") },
+        { "a carriage return in a value", makeResponse (statusLine, "X: 1\r2\r\n") },
+        { "a continuation of the stamp", makeResponse (statusLine, " more\r\n") },
+        { "a continuation with a tab", makeResponse (statusLine, "\tmore\r\n") },
+        { "a continuation of the status line", makeResponse (std::string (statusLine) + "\r\n more") },
+    };
+    checkShapes (shapes);
+}
+
 // Guards against a target that attracts the requests of its service, since it answers at once with bytes that
 // are no response.
 TEST_CASE ("requests go to the sound one of two targets")
--- a/tests/runtime/ResponseReader_test.cpp
+++ b/tests/runtime/ResponseReader_test.cpp
@@ -1,9 +1,12 @@
 /*  Which bytes of a server the HTTP clients take for a response. */
 
+#include "plankledge_core/Random.h"
 #include "plankledge_runtime/HttpClient.h"
 #include "plankledge_runtime/TargetClient.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <cctype>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -145,6 +148,59 @@
     return fmt::format ("{}\r\nId: 1\r\n{}Content-Length: 4\r\n\r\nbody", statusLine, fields);
 }
 
+//==============================================================================
+bool isTokenCharacter (unsigned char character)
+{
+    return std::isalnum (character) != 0 ||
+           (character != 0 && std::string_view ("!#$%&'*+-.^_`|~").find (static_cast<char> (character)) !=
+                                  std::string_view::npos);
+}
+
+/** @returns whether a character may stand in a field's value or a reason phrase */
+bool isTextCharacter (unsigned char character)
+{
+    return character == '\t' || (character >= ' ' && character != 0x7F);
+}
+
+bool isStatusLine (std::string_view line)
+{
+    const bool hasVersion = line.starts_with ("HTTP/1.1 ") || line.starts_with ("HTTP/1.0 ");
+    return hasVersion && line.size() >= 13 && line[9] >= '2' && line[9] <= '5' &&
+           std::isdigit (static_cast<unsigned char> (line[10])) != 0 &&
+           std::isdigit (static_cast<unsigned char> (line[11])) != 0 && line[12] == ' ' &&
+           std::all_of (line.begin() + 13, line.end(), isTextCharacter);
+}
+
+bool isFieldLine (std::string_view line)
+{
+    const auto colon = line.find (':');
+    return colon != std::string_view::npos && colon > 0 &&
+           std::all_of (line.begin(), line.begin() + static_cast<std::ptrdiff_t> (colon), isTokenCharacter) &&
+           std::all_of (line.begin() + static_cast<std::ptrdiff_t> (colon), line.end(), isTextCharacter);
+}
+
+/** @returns whether a text begins with the header section of a final response, by the grammar of RFC 9112,
+    sections 4 and 5, without obsolete line folding */
+bool hasValidHead (std::string_view text)
+{
+    for (bool isFirst = true;; isFirst = false)
+    {
+        const auto end = text.find ("\r\n");
+
+        if (end == std::string_view::npos)
+            return false;
+
+        const auto line = text.substr (0, end);
+        text.remove_prefix (end + 2);
+
+        if (line.empty())
+            return ! isFirst;
+
+        if (isFirst ? ! isStatusLine (line) : ! isFieldLine (line))
+            return false;
+    }
+}
+
 const HttpResponse* responseOf (const std::variant<HttpResponse, ResponseError>& result)
 {
     return std::get_if<HttpResponse> (&result);
@@ -214,6 +270,117 @@
     }
 }
 
+// Guards against a line that is passed on, or dropped together with the one before it, although its target
+// has sent no field there.
+TEST_CASE ("each byte at each kind of place in a header section is taken as the grammar has it")
+{
+    const std::string templates[] = {
+        "HTTP/1.1 2@0 X\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1@200 X\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200@X\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X@Y\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\n@Id: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\n@Y: 2\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\nY@Y: 2\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\nYY@: 2\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\nYY:@2\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\nYY: 2@2\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\nYY: 2@\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\nYY: 2\r@\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 X\r\nId: 1\r\nYY: 2\r\n@\r\nContent-Length: 4\r\n\r\nbody",
+    };
+    Clients clients;
+
+    for (const auto& text : templates)
+    {
+        for (unsigned byte = 0; byte < 256; ++byte)
+        {
+            auto bytes = text;
+            bytes[bytes.find ('@')] = static_cast<char> (byte);
+            CAPTURE (text);
+            CAPTURE (byte);
+            const auto result = clients.call (bytes, false);
+
+            // The byte may make another number of the status, a name that frames the message, or a shorter
+            // section.
+            if (! hasValidHead (bytes))
+                CHECK (errorOf (result) != ResponseError::none);
+            else if (const auto* response = responseOf (result))
+                CHECK (response->m_body == "body");
+            else
+                CHECK (errorOf (result) == ResponseError::none);
+        }
+    }
+}
+
+TEST_CASE ("a line that continues the one before is found however the bytes arrive")
+{
+    Clients clients;
+
+    for (const auto* fold : { " ", "\t", " \t ", " X: 1" })
+    {
+        CAPTURE (fold);
+        const auto folded = fmt::format ("Y: 1\r\n{}2\r\n", fold);
+        CHECK (errorOf (clients.call (makeResponse ("HTTP/1.1 200 OK", folded), true)) ==
+               ResponseError::lineFolding);
+        CHECK (errorOf (clients.call (
+                   "HTTP/1.1 103 Hints\r\n" + folded + "\r\n" + makeResponse ("HTTP/1.1 200 OK"), true)) ==
+               ResponseError::lineFolding);
+
+        // Lines at the end of the section, and of a long one that is read in several parts.
+        const auto last = fmt::format ("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n{}\r\nbody", folded);
+        CHECK (errorOf (clients.call (last, true)) == ResponseError::lineFolding);
+        const auto filler = fmt::format ("X: {}\r\n", std::string (3000, 'x'));
+        CHECK (errorOf (clients.call (makeResponse ("HTTP/1.1 200 OK", filler + folded + filler), true)) ==
+               ResponseError::lineFolding);
+    }
+
+    // A body may look like anything.
+    const auto body =
+        clients.call ("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\na\r\n b\r\n c", true);
+    REQUIRE (responseOf (body) != nullptr);
+    CHECK (responseOf (body)->m_body == "a\r\n b\r\n c");
+}
+
+TEST_CASE ("a header section that is changed at random places is discarded unless the grammar allows it")
+{
+    constexpr std::string_view bytes ("\0\t\n\r \"(),/:;<=>?@[]{}aZ09~\x7f\x80\xff", 29);
+    const std::string valid = "HTTP/1.1 200 Fine\r\nId: 1\r\nFirst: one two\r\nSecond:\r\n\r\nbody";
+    Clients clients;
+    Random random (62);
+    std::size_t accepted = 0;
+
+    for (int trial = 0; trial < 4000; ++trial)
+    {
+        auto text = valid;
+
+        for (auto changes = random.below (3) + 1; changes > 0; --changes)
+        {
+            const auto place = random.below (text.size() - 4);
+            const char byte = bytes[random.below (bytes.size())];
+
+            switch (random.below (3))
+            {
+            case 0:
+                text[place] = byte;
+                break;
+            case 1:
+                text.insert (place, 1, byte);
+                break;
+            default:
+                text.erase (place, 1);
+            }
+        }
+
+        CAPTURE (text);
+        const bool isAccepted = responseOf (clients.call (text, false)) != nullptr;
+        accepted += isAccepted ? 1 : 0;
+        CHECK ((! isAccepted || hasValidHead (text)));
+    }
+
+    CHECK (accepted > 400);
+}
+
 TEST_CASE ("responses without a body are complete after their header section")
 {
     Clients clients;
