Keep a response's trailer fields out of its header section

What callers saw: a field that a target sent behind a chunked body came back as one of the header section: a second id or stamp, or the only one.

Cause: Boost.Beast adds the fields of a trailer section to the parsed header fields, which RFC 9110, section 6.5.1, forbids for fields that nobody has defined that way.

Change: ResponseParser drops fields that come after the header section. An intermediary may discard trailers.

--- a/modules/plankledge_runtime/ResponseReader.cpp
+++ b/modules/plankledge_runtime/ResponseReader.cpp
@@ -61,6 +61,13 @@
     return http::error::bad_obs_fold;
 }
 
+void ResponseParser::on_field_impl (http::field field, beast::string_view name, beast::string_view value,
+                                    beast::error_code&)
+{
+    if (! is_header_done())
+        get().insert (field, name, value);
+}
+
 void ResponseParser::on_header_impl (beast::error_code& error)
 {
     const auto status = get().result_int();
--- a/tests/runtime/ResponseReader_test.cpp
+++ b/tests/runtime/ResponseReader_test.cpp
@@ -381,6 +381,25 @@
     CHECK (accepted > 400);
 }
 
+// Guards against fields that a client takes for those of the header section, such as a second id.
+TEST_CASE ("fields of a trailer section are no header fields")
+{
+    Clients clients;
+    const auto result = clients.call ("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                      "4\r\nbody\r\n0\r\nServer-Stamp: other\r\nId: 2\r\n\r\n",
+                                      true);
+    REQUIRE (responseOf (result) != nullptr);
+    const auto& headers = responseOf (result)->m_headers;
+    CHECK (responseOf (result)->m_body == "body");
+    CHECK (findHeader (headers, "Server-Stamp").empty());
+    CHECK (std::count_if (headers.begin(), headers.end(),
+                          [] (const auto& header) { return header.first == "Id"; }) == 1);
+
+    // An id in the trailer section alone does not make it the response to a request.
+    CHECK (errorOf (clients.call ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nId: 1\r\n\r\n",
+                                  true)) == ResponseError::incomplete);
+}
+
 TEST_CASE ("responses without a body are complete after their header section")
 {
     Clients clients;
