Discard a target's response in a transfer coding that nobody asked for

What callers saw: 200 with coded bytes as the body, since the field that names the coding concerns one connection only and is not passed on. Where chunked was not the last coding, the body was the chunk framing itself.

Cause: Beast decodes chunked and ignores every other coding.

Change: Transfer-Encoding is chunked alone, in HTTP/1.1, or the response is discarded as soon as its header section is parsed, before a body that has no end is read (RFC 9112, sections 6.1, 6.3 and 7.4).

--- a/modules/plankledge_runtime/ResponseReader.cpp
+++ b/modules/plankledge_runtime/ResponseReader.cpp
@@ -16,6 +16,7 @@
 
 constexpr unsigned minStatus = 100;
 constexpr unsigned maxStatus = 599;
+constexpr unsigned http11 = 11; // as Beast counts versions
 
 ResponseError classify (const beast::error_code& error, ResponseError violation) noexcept
 {
@@ -69,15 +70,30 @@
 }
 
 void ResponseParser::on_header_impl (beast::error_code& error)
+{
+    m_violation = findViolation();
+
+    if (m_violation != ResponseError::none)
+        error = http::error::bad_value;
+}
+
+/** @returns the rule that the header section breaks, if any */
+ResponseError ResponseParser::findViolation() const
 {
     const auto status = get().result_int();
     const bool isSwitching = get().result() == http::status::switching_protocols;
 
     if (status < minStatus || status > maxStatus || isSwitching)
-    {
-        m_violation = ResponseError::status;
-        error = http::error::bad_status;
-    }
+        return ResponseError::status;
+
+    // No other coding was asked for, and a message of HTTP/1.0 has none (RFC 9112, sections 6.1 and 7.4).
+    const auto codings = get().count (http::field::transfer_encoding);
+    const bool isChunked = beast::iequals (get()[http::field::transfer_encoding], "chunked");
+
+    if (codings > 1 || (codings == 1 && (! isChunked || get().version() < http11)))
+        return ResponseError::transferCoding;
+
+    return ResponseError::none;
 }
 
 //==============================================================================
--- a/modules/plankledge_runtime/ResponseReader.h
+++ b/modules/plankledge_runtime/ResponseReader.h
@@ -31,7 +31,7 @@
 
 //==============================================================================
 /** A Boost.Beast parser that also checks what Beast leaves to its users: whether the response has a status
-    that a client can interpret (RFC 9110, section 15), and whether its lines are folded.
+    that a client can interpret (RFC 9110, section 15), no transfer coding but chunked, and no folded lines.
     Fields of a trailer section are dropped, which Beast adds to those of the header section (RFC 9110,
    section 6.5.1). */
 class ResponseParser : public boost::beast::http::response_parser<boost::beast::http::string_body>
@@ -54,6 +54,8 @@
     //==============================================================================
     static constexpr unsigned firstFinalStatus = 200;
 
+    ResponseError findViolation() const;
+
     void on_field_impl (boost::beast::http::field field, boost::beast::string_view name,
                         boost::beast::string_view value, boost::beast::error_code& error) override;
     void on_header_impl (boost::beast::error_code& error) override;
--- a/tests/responses/MalformedResponses_test.cpp
+++ b/tests/responses/MalformedResponses_test.cpp
@@ -96,6 +96,22 @@
     checkShapes (shapes);
 }
 
+// Guards against coded bytes that are passed on as the body.
+TEST_CASE ("transfer codings that nobody asked for")
+{
+    std::vector<Shape> shapes;
+
+    for (const auto* coding : { "gzip", "gzip, chunked", "chunked, gzip", "identity" })
+        shapes.push_back ({ coding,
+                            { fmt::format ("HTTP/1.1 200 OK\r\nRequest-Id: {{id}}\r\nServer-Stamp: stamp\r\n"
+                                           "Transfer-Encoding: {}\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                           coding),
+                              {},
+                              true } });
+
+    checkShapes (shapes);
+}
+
 // Guards against a target that attracts the requests of its service, since it answers at once with bytes that
 // are no response.
 TEST_CASE ("requests go to the sound one of two targets")
--- a/tests/runtime/ResponseReader_test.cpp
+++ b/tests/runtime/ResponseReader_test.cpp
@@ -400,6 +400,52 @@
                                   true)) == ResponseError::incomplete);
 }
 
+// Guards against coded bytes that are passed on as the body, without the field that names the coding.
+TEST_CASE ("a transfer coding other than chunked alone is an error")
+{
+    struct Row
+    {
+        std::string m_fields;
+        bool m_isAccepted;
+    };
+    const Row rows[] = {
+        { "Transfer-Encoding: chunked\r\n", true },
+        { "Transfer-Encoding: Chunked\r\n", true },
+        { "Transfer-Encoding: \t chunked \r\n", true },
+        { "Transfer-Encoding: gzip\r\n", false },
+        { "Transfer-Encoding: gzip, chunked\r\n", false },
+        { "Transfer-Encoding: chunked, gzip\r\n", false },
+        { "Transfer-Encoding: chunked, chunked\r\n", false },
+        { "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", false },
+        { "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", false },
+        { "Transfer-Encoding: identity\r\n", false },
+        { "Transfer-Encoding: xchunked\r\n", false },
+        { "Transfer-Encoding: chunked;q=1\r\n", false },
+        { "Transfer-Encoding:\r\n", false },
+        { "Transfer-Encoding: chunked\r\nContent-Length: 14\r\n", false },
+    };
+    Clients clients;
+
+    for (const auto& row : rows)
+    {
+        CAPTURE (row.m_fields);
+
+        for (const std::string version : { "1.1", "1.0" })
+        {
+            CAPTURE (version);
+            const auto result =
+                clients.call (fmt::format ("HTTP/{} 200 OK\r\nId: 1\r\n{}\r\n4\r\nbody\r\n0\r\n\r\n", version,
+                                           row.m_fields),
+                              true);
+            const bool isAccepted = row.m_isAccepted && version == "1.1";
+            CHECK ((responseOf (result) != nullptr) == isAccepted);
+
+            if (isAccepted)
+                CHECK (responseOf (result)->m_body == "body");
+        }
+    }
+}
+
 TEST_CASE ("responses without a body are complete after their header section")
 {
     Clients clients;
