--- a/modules/plankledge_runtime/NodeMetrics.h
+++ b/modules/plankledge_runtime/NodeMetrics.h
@@ -74,7 +74,14 @@
             return;
 
         ++m_brokenTargetCalls;
-        ++m_discardedResponses[failure.m_error];
+        countDiscarded (failure.m_error);
+    }
+
+    /** @param error   none: the response was not discarded */
+    void countDiscarded (ResponseError error) noexcept
+    {
+        if (error != ResponseError::none)
+            ++m_discardedResponses[error];
     }
 };
 
--- a/modules/plankledge_runtime/RelayTargetEdge.cpp
+++ b/modules/plankledge_runtime/RelayTargetEdge.cpp
@@ -35,6 +35,7 @@
     else
     {
         reply = m_hooks.m_decode (std::get<HttpResponse> (std::move (result)));
+        m_metrics.countDiscarded (reply.m_error);
     }
 
     reply.m_call = call;
--- a/tests/platform/HttpCodec_test.cpp
+++ b/tests/platform/HttpCodec_test.cpp
@@ -258,6 +258,32 @@
         }
 }
 
+// Guards against an answer that is taken for the client's although it names another request or run as well.
+TEST_CASE ("a target's response with two ids or two stamps is discarded")
+{
+    const std::pair<HttpHeaders, ResponseError> rows[] = {
+        { { { "Request-Id", "1" }, { "Server-Stamp", "s" } }, ResponseError::none },
+        { { { "Request-Id", "1" }, { "request-id", "1" }, { "Server-Stamp", "s" } }, ResponseError::none },
+        { { { "Request-Id", "1" }, { "request-id", "2" }, { "Server-Stamp", "s" } },
+          ResponseError::conflictingFields },
+        { { { "Request-Id", "1" }, { "Server-Stamp", "s" }, { "Server-Stamp", "t" } },
+          ResponseError::conflictingFields },
+        { { { "Request-Id", "1" }, { "Server-Stamp", "s" }, { "server-stamp", "" } },
+          ResponseError::conflictingFields },
+    };
+
+    for (const auto& [headers, error] : rows)
+        for (const std::uint16_t status : { 200, 404, 500, 503 })
+        {
+            CAPTURE (status);
+            auto all = headers;
+            all.emplace_back ("Not-Executed", status == 503 ? "1" : "");
+            const auto reply = decodeTargetResponse (targetResponse (status, all));
+            CHECK (reply.m_error == error);
+            CHECK ((reply.m_kind == TargetReplyKind::broken) == (error != ResponseError::none));
+        }
+}
+
 TEST_CASE ("a target's response is returned unchanged; a node's own error contains nothing from a target")
 {
     RelayResult result { Outcome::completed, Reason::none, { 201, { { "Server-Stamp", "s" } }, "body" }, {} };
--- a/tests/responses/MalformedResponses_test.cpp
+++ b/tests/responses/MalformedResponses_test.cpp
@@ -112,6 +112,14 @@
     checkShapes (shapes);
 }
 
+// Guards against an answer that is taken for the client's although it names another request or run as well.
+TEST_CASE ("two ids or two stamps")
+{
+    const auto* const statusLine = "HTTP/1.1 200 OK";
+    checkShapes ({ { "two ids", makeResponse (statusLine, "Request-Id: another\r\n") },
+                   { "two stamps", makeResponse (statusLine, "Server-Stamp: another\r\n") } });
+}
+
 // Guards against a target that attracts the requests of its service, since it answers at once with bytes that
 // are no response.
 TEST_CASE ("requests go to the sound one of two targets")
