Discard a target's success that has no stamp

What callers saw: 200 without the Server-Stamp that tells a client which run of the target it is the result of. Clients don't take such an answer for a success, while it counted as one for the target.

Cause: nothing looked whether the field is there.

Change: decodeTargetResponse discards a 2xx without a stamp. Failures need none. The stand-ins of the soak and of the crowds state one in each answer.

--- a/tests/platform/HttpCodec_test.cpp
+++ b/tests/platform/HttpCodec_test.cpp
@@ -10,11 +10,17 @@
 namespace
 {
 
+HttpHeaders withStamp (HttpHeaders headers)
+{
+    headers.emplace_back ("Server-Stamp", "s");
+    return headers;
+}
+
 HttpResponse targetResponse (std::uint16_t status, HttpHeaders headers)
 {
     HttpResponse response;
     response.m_status = status;
-    response.m_headers = std::move (headers);
+    response.m_headers = withStamp (std::move (headers));
     response.m_body = "body";
     return response;
 }
@@ -177,7 +183,7 @@
             const auto reply = decodeTargetResponse (targetResponse (status, row.m_headers));
             REQUIRE (reply.m_condition.has_value());
             CHECK (*reply.m_condition == row.m_condition);
-            CHECK (reply.m_answer.m_headers == row.m_headers);
+            CHECK (reply.m_answer.m_headers == withStamp (row.m_headers));
         }
 }
 
@@ -254,7 +260,7 @@
             CHECK (reply.m_condition->m_isLoadMalformed == ! row.m_load.has_value());
             CHECK (reply.m_condition->m_rateLimit == 3.0);
             CHECK_FALSE (reply.m_condition->m_isRateLimitMalformed);
-            CHECK (reply.m_answer.m_headers == HttpHeaders { { "Server-Limit", "3" } });
+            CHECK (reply.m_answer.m_headers == withStamp ({ { "Server-Limit", "3" } }));
         }
 }
 
@@ -284,6 +290,23 @@
         }
 }
 
+TEST_CASE ("a target's success without a stamp is discarded; other answers need none")
+{
+    for (const std::uint16_t status : { 200, 204, 299, 300, 404, 500 })
+        for (const auto& headers : { HttpHeaders(), HttpHeaders { { "Server-Stamp", "" } },
+                                     HttpHeaders { { "server-stamp", "s" } } })
+        {
+            CAPTURE (status);
+            const bool isMissing = status < 300 && findHeader (headers, "Server-Stamp").empty();
+            HttpResponse response;
+            response.m_status = status;
+            response.m_headers = headers;
+            const auto reply = decodeTargetResponse (response);
+            CHECK (reply.m_error == (isMissing ? ResponseError::missingField : ResponseError::none));
+            CHECK (reply.m_kind == (isMissing ? TargetReplyKind::broken : TargetReplyKind::answered));
+        }
+}
+
 TEST_CASE ("a target's response is returned unchanged; a node's own error contains nothing from a target")
 {
     RelayResult result { Outcome::completed, Reason::none, { 201, { { "Server-Stamp", "s" } }, "body" }, {} };
--- a/tests/responses/MalformedResponses_test.cpp
+++ b/tests/responses/MalformedResponses_test.cpp
@@ -120,6 +120,17 @@
                    { "two stamps", makeResponse (statusLine, "Server-Stamp: another\r\n") } });
 }
 
+// Guards against a success that no client takes for one, from a target that routing takes for a sound one.
+TEST_CASE ("a success without a stamp")
+{
+    checkShapes (
+        { { "no stamp", { "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody" } },
+          { "an empty stamp",
+            { "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp:\r\n"
+              "Content-Length: 4\r\n\r\nbody" } },
+          { "a success without a body", { "HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n\r\n" } } });
+}
+
 // Guards against a target that attracts the requests of its service, since it answers at once with bytes that
 // are no response.
 TEST_CASE ("requests go to the sound one of two targets")
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -55,6 +55,7 @@
     response.m_headers.emplace_back ("Request-Id", requestId);
     response.m_headers.emplace_back ("Keep-Alive", "timeout=5");
     response.m_headers.emplace_back (targetIdHeader, m_id);
+    response.m_headers.emplace_back ("Server-Stamp", fmt::format ("{}.{}", m_id, requestId));
 
     if (! ran)
         response.m_headers.emplace_back ("Not-Executed", "1");
--- a/tests/untrusted/StubTarget.cpp
+++ b/tests/untrusted/StubTarget.cpp
@@ -90,6 +90,7 @@
 
         http::response<http::string_body> response (http::status::ok, 11);
         response.set ("Request-Id", id);
+        response.set ("Server-Stamp", "stub." + id);
 
         if (target.ends_with ("/large"))
             response.body().assign (largeBytes, 'x');
