Discard broken answers to single requests too

What callers saw: an answer of the store, of a node's admin address or to a health check with a status such as 000 or with folded lines was read like any other. A target of the own interface whose health checks were answered with such bytes counted as serving.

Cause: HttpClient parsed responses by itself, without the checks of the target's client.

Change: HttpClient reads through ResponseReader, with the error data loss where a response breaks a rule. The store's client takes that for a call without an answer, as it does a lost one. A health check that is answered so makes the target unreachable until one is answered by a response.

--- a/modules/plankledge_runtime/HttpClient.cpp
+++ b/modules/plankledge_runtime/HttpClient.cpp
@@ -1,7 +1,7 @@
 #include "plankledge_runtime/HttpClient.h"
 
 #include "plankledge_runtime/HttpMessages.h"
-#include "plankledge_runtime/MessageReader.h"
+#include "plankledge_runtime/ResponseReader.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -56,6 +56,15 @@
     return absl::AbortedError (error.message());
 }
 
+absl::Status toStatus (const detail::ResponseFailure& failure)
+{
+    if (failure.m_error == ResponseError::incomplete)
+        return toStatus (failure.m_cause);
+
+    const auto name = nameOf (failure.m_error);
+    return absl::DataLossError ("response discarded: " + std::string (name));
+}
+
 asio::awaitable<void> run (Endpoint endpoint, HttpRequest request, Duration timeout, HttpClient::Done done)
 {
     beast::tcp_stream stream (co_await asio::this_coro::executor);
@@ -82,13 +91,14 @@
         co_return done (toStatus (writeError));
 
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit (maxResponseBytes);
+    detail::ResponseOptions options;
+    options.m_maxBody = maxResponseBytes;
+    auto result = co_await detail::readResponse (stream, buffer, std::move (options));
 
-    if (const auto readError = co_await detail::readMessage (stream, buffer, parser, maxHeaderBytes, nullptr))
-        co_return done (toStatus (readError));
+    if (const auto* failure = std::get_if<detail::ResponseFailure> (&result))
+        co_return done (toStatus (*failure));
 
-    done (toResponse (parser.release()));
+    done (std::get<detail::ReceivedResponse> (std::move (result)).m_response);
 }
 
 } // namespace
--- a/modules/plankledge_runtime/HttpClient.h
+++ b/modules/plankledge_runtime/HttpClient.h
@@ -31,7 +31,8 @@
 
         @param timeout   of the whole exchange, including connection setup
         @param done      receives the complete response, or an error: unavailable (not connected, so nothing
-                         was sent), aborted (the connection broke later), or deadline exceeded
+                         was sent), aborted (the connection broke later), deadline exceeded, or data loss (a
+                         response that breaks a rule of HTTP/1.1)
     */
     void send (const Endpoint& endpoint, HttpRequest request, Duration timeout, Done done);
 
--- a/tests/runtime/ResponseReader_test.cpp
+++ b/tests/runtime/ResponseReader_test.cpp
@@ -3,6 +3,7 @@
 #include "plankledge_core/Random.h"
 #include "plankledge_runtime/HttpClient.h"
 #include "plankledge_runtime/TargetClient.h"
+#include "plankledge_runtime/TargetEdge.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -446,6 +447,61 @@
     }
 }
 
+//==============================================================================
+// Guards against an answer of the store, or of a node's admin address, that is no response.
+TEST_CASE ("the client for single requests discards the same responses")
+{
+    Clients clients;
+    CHECK (clients.request (makeResponse ("HTTP/1.1 200 OK")).ok());
+
+    for (const auto& bytes :
+         { makeResponse ("HTTP/1.1 000 X"), makeResponse ("HTTP/1.1 700 X"), makeResponse ("HTTP/1.1 101 X"),
+           makeResponse ("HTTP/1.1 200 OK", " fold\r\n"), makeResponse ("HTTP/1.1 200 OK", "X Y: 1\r\n"),
+           std::string ("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody"),
+           std::string ("rubbish\r\n\r\n") })
+    {
+        CAPTURE (bytes);
+        CHECK (absl::IsDataLoss (clients.request (bytes).status()));
+    }
+
+    CHECK (absl::IsAborted (clients.request ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo").status()));
+    const auto interim = clients.request ("HTTP/1.1 100 Continue\r\n\r\n" + makeResponse ("HTTP/1.1 200 OK"));
+    REQUIRE (interim.ok());
+    CHECK (interim->m_body == "body");
+}
+
+// Guards against a target that counts as sound, since it answers its health checks with bytes that are no
+// response.
+TEST_CASE ("a target whose health check is answered by no response is not serving")
+{
+    asio::io_context context { 1 };
+    RawServer server (context);
+    Logger logger ("node-1", Severity::error);
+    Node node (context,
+               std::make_unique<Reducer> (
+                   NodeSettings(), RelaySettings(),
+                   [] (const std::string&) -> absl::StatusOr<RouteTable> { return RouteTable (1, {}); }),
+               logger);
+    node.addEdge ([] (const Effect&) { return true; });
+    NodeMetrics metrics;
+    TargetEdge target (context, node, server.endpoint(), metrics, std::make_shared<ProcessResources>());
+    target.start();
+
+    for (const auto& [bytes, isServing] :
+         { std::pair { makeResponse ("HTTP/1.1 200 OK"), true },
+           std::pair { makeResponse ("HTTP/1.1 000 X"), false },
+           std::pair { makeResponse ("HTTP/1.1 200 OK"), true },
+           std::pair { makeResponse ("HTTP/1.1 200 OK", " fold\r\n"), false } })
+    {
+        CAPTURE (bytes);
+        server.setBytes (bytes);
+        context.restart();
+        context.run_for (
+            std::chrono::milliseconds (1800)); // a serving target is probed once it is idle for 1 s
+        CHECK (target.isServing() == isServing);
+    }
+}
+
 TEST_CASE ("responses without a body are complete after their header section")
 {
     Clients clients;
