Discard a peer's answer with a response that no client can read

What callers saw: a node passed on whatever a frame said is a target's response: a status of 0, a field name with a blank, a value with a line break, a body behind 204, or fields that frame the message. While nodes of two versions run, one without the checks sends such frames.

Cause: the decoder checked enumerators only, and what a peer had sent was taken for complete.

Change: the reducer takes a relayed answer whose response can't be written (isWritableResponse) as one of a broken target, counts it in plankledge_peer_answers_discarded_total, and takes the peer's target for failing until the peer's next status. The link stays: other requests on it are sound. In frames of the own interface, which has no mixed versions, such a result is malformed.

--- a/modules/plankledge_policy/Counters.h
+++ b/modules/plankledge_policy/Counters.h
@@ -41,15 +41,16 @@
     std::uint64_t m_malformedLoads = 0; /**< answers of the target, whose load can't be read */
     std::array<std::uint64_t, 3> m_retriesByPriority {}; /**< by priority of the chain's first route; the last
                                                             element includes all lower priorities */
-    std::uint64_t m_crashReports = 0;        /**< reports that the target crashed while running requests */
-    std::uint64_t m_crashesWithdrawn = 0;    /**< reports withdrawn, since the target was still running */
-    std::uint64_t m_acquittals = 0;          /**< suspected requests that the target completed */
-    std::uint64_t m_malformedRateLimits = 0; /**< answers of the target, whose rate limit can't be read */
-    std::uint64_t m_storeRestores = 0;       /**< restores of the store from an older backup */
-    std::uint64_t m_requestsAtExit = 0;      /**< requests refused since the node was about to exit */
-    std::uint64_t m_lateAnswers = 0;         /**< answers to calls that had already ended */
-    std::uint64_t m_attached = 0;            /**< duplicates attached to the running request */
-    std::uint64_t m_replayed = 0;            /**< duplicates answered from the record */
+    std::uint64_t m_crashReports = 0;         /**< reports that the target crashed while running requests */
+    std::uint64_t m_crashesWithdrawn = 0;     /**< reports withdrawn, since the target was still running */
+    std::uint64_t m_acquittals = 0;           /**< suspected requests that the target completed */
+    std::uint64_t m_malformedRateLimits = 0;  /**< answers of the target, whose rate limit can't be read */
+    std::uint64_t m_storeRestores = 0;        /**< restores of the store from an older backup */
+    std::uint64_t m_requestsAtExit = 0;       /**< requests refused since the node was about to exit */
+    std::uint64_t m_discardedPeerAnswers = 0; /**< answers of peers with a response that no client can read */
+    std::uint64_t m_lateAnswers = 0;          /**< answers to calls that had already ended */
+    std::uint64_t m_attached = 0;             /**< duplicates attached to the running request */
+    std::uint64_t m_replayed = 0;             /**< duplicates answered from the record */
     std::uint64_t m_inquiries = 0;
     std::uint64_t m_detectedPauses = 0; /**< of the process */
     std::uint64_t m_invalidConfigurations = 0;
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -1,5 +1,7 @@
 #include "plankledge_policy/relay/RelayDecisions.h"
 
+#include "plankledge_core/HttpSyntax.h"
+
 #include <fmt/format.h>
 
 namespace plankledge
@@ -51,6 +53,9 @@
 /** A stopping node exits this long before it would be killed, even if it isn't idle. */
 constexpr Duration stopMargin = Milliseconds (500);
 
+/** Of GateStatus::m_failurePermille. */
+constexpr std::uint16_t allFailed = 1000;
+
 /** Margin until it would be killed, for the end of the process after all connections have been closed. */
 constexpr Duration killMargin = Milliseconds (200);
 
@@ -362,9 +367,27 @@
     m_gate.receive (m_turn, { link, from.m_instance, message.m_callId }, std::move (request));
 }
 
+namespace
+{
+
+/** @returns the answer of a peer that has passed on a response that no client can read, as that of a broken
+    target. The peer, which may run another version, has not counted it as a failure. */
+RelayAnswer withoutResponse (RelayAnswer answer)
+{
+    answer.m_result = { Outcome::unknown, Reason::targetBroken, {}, {} };
+    answer.m_gate.m_failurePermille = allFailed;
+    return answer;
+}
+
+} // namespace
+
 void RelayDecisions::onMessage (LinkId, const NodeId& from, const RelayAnswer& message)
 {
-    m_entry.onAnswer (m_turn, from.m_instance, message);
+    const auto& [outcome, reason, response, retryAfter] = message.m_result;
+    const bool isReadable = outcome != Outcome::completed ||
+                            isWritableResponse (response.m_status, response.m_headers, response.m_body);
+    m_turn.counters().m_discardedPeerAnswers += isReadable ? 0 : 1;
+    m_entry.onAnswer (m_turn, from.m_instance, isReadable ? message : withoutResponse (message));
     onVersionReported (from.m_instance, message.m_version);
 }
 
--- a/modules/plankledge_runtime/NodeMetrics.cpp
+++ b/modules/plankledge_runtime/NodeMetrics.cpp
@@ -98,6 +98,7 @@
     appendCounter (text, "store_restores_total", counters.m_storeRestores);
     appendCounter (text, "acquittals_total", counters.m_acquittals);
     appendCounter (text, "requests_at_exit_total", counters.m_requestsAtExit);
+    appendCounter (text, "peer_answers_discarded_total", counters.m_discardedPeerAnswers);
     appendCounter (text, "late_answers_total", counters.m_lateAnswers);
     appendCounter (text, "pauses_total", counters.m_detectedPauses);
 }
--- a/modules/plankledge_wire/FrameCodec.cpp
+++ b/modules/plankledge_wire/FrameCodec.cpp
@@ -1,5 +1,6 @@
 #include "plankledge_wire/FrameCodec.h"
 
+#include "plankledge_core/HttpSyntax.h"
 #include "plankledge_wire/BoundedArchive.h"
 #include <cstring>
 #include <exception>
@@ -62,7 +63,10 @@
 
 bool isValid (const CallResult& result) noexcept
 {
-    return result.m_outcome <= Outcome::unknown && result.m_reason < Reason::reasonCount;
+    const bool isReadable =
+        result.m_outcome != Outcome::completed ||
+        (isWritableResponse (result.m_status, {}, result.m_body) && isFieldValue (result.m_contentType));
+    return result.m_outcome <= Outcome::unknown && result.m_reason < Reason::reasonCount && isReadable;
 }
 
 struct Validator
--- a/tests/contracts/Wire_test.cpp
+++ b/tests/contracts/Wire_test.cpp
@@ -60,6 +60,12 @@
     std::get<CallRequest> (wrongRank.m_message).m_rank = admitAll;
     CallAnswer answer;
     answer.m_result.m_reason = static_cast<Reason> (200);
+    CallAnswer unreadable;
+    unreadable.m_result = { Outcome::completed, Reason::none, 0, "text/plain", "body" };
+    CallAnswer withField;
+    withField.m_result = { Outcome::completed, Reason::none, 200, "text/plain\r\nX: 1", "body" };
+    CallAnswer withBody;
+    withBody.m_result = { Outcome::completed, Reason::none, 204, "text/plain", "body" };
     Heartbeat heartbeat;
     heartbeat.m_member.m_state = static_cast<MemberState> (9);
 
@@ -79,6 +85,12 @@
         { "rank out of range", payloadOf (wrongRank), WireError::malformed },
         { "unknown reason", payloadOf ({ protocolVersion, { "n1", 42 }, "n2", answer }),
           WireError::malformed },
+        { "a status that no client can read", payloadOf ({ protocolVersion, { "n1", 42 }, "n2", unreadable }),
+          WireError::malformed },
+        { "a content type of two lines", payloadOf ({ protocolVersion, { "n1", 42 }, "n2", withField }),
+          WireError::malformed },
+        { "a body where none is allowed", payloadOf ({ protocolVersion, { "n1", 42 }, "n2", withBody }),
+          WireError::malformed },
         { "unknown member state", payloadOf ({ protocolVersion, { "n1", 42 }, "n2", heartbeat }),
           WireError::malformed },
     };
--- a/tests/platform/HttpCodec_test.cpp
+++ b/tests/platform/HttpCodec_test.cpp
@@ -314,6 +314,13 @@
     CHECK (returned.m_status == 201);
     CHECK (returned.m_body == "body");
     CHECK (findHeader (returned.m_headers, "Server-Stamp") == "s");
+
+    // Fields that a peer should have dropped.
+    result.m_answer.m_headers = { { "Content-Length", "9" }, { "Transfer-Encoding", "gzip" },
+                                  { "connection", "x-hop" }, { "X-Hop", "1" },
+                                  { "Request-Id", "id-2" },  { "Server-Stamp", "s" } };
+    CHECK (encodeResponse ("id-1", result).m_headers ==
+           HttpHeaders { { "Server-Stamp", "s" }, { "Request-Id", "id-1" } });
     CHECK (findHeader (returned.m_headers, "Request-Id") == "id-1");
 
     for (const auto& row : failureRows)
--- a/tests/relay/entry/Retries_test.cpp
+++ b/tests/relay/entry/Retries_test.cpp
@@ -1,5 +1,6 @@
 #include "support/RelaySite.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 namespace plankledge::test
@@ -73,6 +74,73 @@
     CHECK (site.reasonOf (lost) == Reason::deadlineExceeded);
 }
 
+namespace
+{
+
+/** @returns a target that answers everything with the same response */
+RelayRig::TargetBehaviour alwaysWith (const RelayedAnswer& response, Duration after)
+{
+    return [response, after] (RelayRig& rig, const InstanceName& instance, const RelayToTarget& dispatch) {
+        TargetReply reply;
+        reply.m_call = dispatch.m_call;
+        reply.m_kind = TargetReplyKind::answered;
+        reply.m_answer = response;
+        rig.replyWith (instance, reply, after);
+    };
+}
+
+} // namespace
+
+// Guards against a response that no client can read, or that a client takes for several, passed on by a peer
+// that runs another version or is broken.
+TEST_CASE ("a peer's response that no client can read counts as none")
+{
+    const std::pair<RelayedAnswer, bool> rows[] = {
+        { { 200, { { "Name", "a value\twith \x80" } }, "body" }, true },
+        { { 599, {}, "" }, true },
+        { { 204, {}, "" }, true },
+        { { 0, {}, "body" }, false },
+        { { 101, {}, "" }, false },
+        { { 600, {}, "" }, false },
+        { { 204, {}, "body" }, false },
+        { { 304, {}, "body" }, false },
+        { { 200, { { "", "value" } }, "" }, false },
+        { { 200, { { "X Y", "value" } }, "" }, false },
+        { { 200, { { "X", "value\r\nY: 2" } }, "" }, false },
+        { { 200, { { "X", std::string ("va\0lue", 6) } }, "" }, false },
+    };
+
+    for (const auto& [response, isReadable] : rows)
+    {
+        CAPTURE (response.m_status);
+        RelaySite site;
+        site.setTargets (alwaysWith (response, Milliseconds (20)));
+        const auto ticket = site.send ("entry", "a", "/write/x");
+        site.run (seconds (1));
+        CHECK (site.outcomeOf (ticket) == (isReadable ? Outcome::completed : Outcome::unknown));
+        CHECK (site.answers().at (ticket).m_result.m_answer == (isReadable ? response : RelayedAnswer()));
+        CHECK (site.reducer ("entry").counters().m_discardedPeerAnswers == (isReadable ? 0 : 1));
+    }
+}
+
+TEST_CASE ("requests leave a peer whose responses no client can read")
+{
+    RelaySite site;
+    site.setTarget ("one", alwaysWith ({ 0, {}, {} }, Milliseconds (1)));
+    site.setTarget ("two", always (TargetReplyKind::answered, Milliseconds (50)));
+
+    for (int index = 0; index < 1000; ++index)
+    {
+        site.send ("entry", std::to_string (index), "/read/x");
+        site.run (Milliseconds (5));
+    }
+
+    const auto atOne = std::count_if (site.runs().begin(), site.runs().end(),
+                                      [] (const auto& run) { return run.m_instance == "one"; });
+    MESSAGE ("sent to the broken target: ", atOne);
+    CHECK (atOne < 100);
+}
+
 TEST_CASE ("the retries of all nodes together stay within the ratio and the slack")
 {
     RelayRig rig;
