Never write a response that breaks a client's connection

What callers saw: whatever a handler of a node returned was written: status 000, a field of two lines, or, where a body stood behind 204 or 304, nothing at all.

Cause: HttpServer cast any number to a status, and Beast checks no field it is given. For a body behind 204 it throws, which ended the connection's coroutine without a response.

Change: the server replaces a response that can't be written by its error response (502, unknown, target-broken) and counts it as plankledge_bad_http_total{reason="unwritable-response"}. What targets and peers send is discarded earlier; this is the last check before a client.

Measured: contract_http_server, 9 such responses, each to two requests on one connection: 29 checks failed before, none now.

--- a/modules/plankledge_runtime/HttpErrorResponses.cpp
+++ b/modules/plankledge_runtime/HttpErrorResponses.cpp
@@ -37,6 +37,8 @@
         return makeProblem (contentTooLarge, Outcome::notRun, plankledge::nameOf (Reason::requestTooLarge));
     case HttpServerError::responseDropped:
         return makeProblem (badGateway, Outcome::unknown, plankledge::nameOf (Reason::memoryFull));
+    case HttpServerError::unwritableResponse:
+        return makeProblem (badGateway, Outcome::unknown, plankledge::nameOf (Reason::targetBroken));
     case HttpServerError::memoryFull:
     {
         auto response =
--- a/modules/plankledge_runtime/HttpServer.cpp
+++ b/modules/plankledge_runtime/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "plankledge_runtime/HttpServer.h"
 
+#include "plankledge_core/HttpSyntax.h"
 #include "plankledge_runtime/Acceptor.h"
 #include "plankledge_runtime/IncrementalBody.h"
 #include "plankledge_runtime/MessageReader.h"
@@ -95,6 +96,12 @@
     return message;
 }
 
+bool isWritable (const HttpResponse& response) noexcept
+{
+    return isWritableResponse (response.m_status, response.m_headers, response.m_body) &&
+           isFieldValue (response.m_contentType);
+}
+
 HttpServerError classify (const beast::error_code& error) noexcept
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
@@ -433,6 +440,9 @@
 
     void respond (ResponseOrder::Id id, HttpResponse response)
     {
+        if (! isWritable (response))
+            response = m_service->m_hooks.m_onError (HttpServerError::unwritableResponse);
+
         if (! m_service->memory().makeRoom (response.m_body.size(), MemoryPriority::begunWork))
             response = m_service->m_hooks.m_onError (HttpServerError::responseDropped);
 
@@ -598,8 +608,10 @@
 //==============================================================================
 std::string_view nameOf (HttpServerError error) noexcept
 {
-    constexpr std::array<std::string_view, 5> names { "malformed", "header-too-large", "body-too-large",
-                                                      "memory-full", "response-dropped" };
+    constexpr std::array<std::string_view, 6> names {
+        "malformed",   "header-too-large", "body-too-large",
+        "memory-full", "response-dropped", "unwritable-response"
+    };
     return names.at (static_cast<std::size_t> (error));
 }
 
--- a/modules/plankledge_runtime/HttpServer.h
+++ b/modules/plankledge_runtime/HttpServer.h
@@ -22,8 +22,9 @@
     malformed,
     headerTooLarge,
     bodyTooLarge,
-    memoryFull,      /**< there is no room for it beside the requests in progress */
-    responseDropped, /**< there is no room for the response to a request that has run */
+    memoryFull,         /**< there is no room for it beside the requests in progress */
+    responseDropped,    /**< there is no room for the response to a request that has run */
+    unwritableResponse, /**< the response to a request that has run would break the connection's messages */
     httpServerErrorCount
 };
 
--- a/tests/contracts/HttpServer_test.cpp
+++ b/tests/contracts/HttpServer_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -847,6 +848,70 @@
 }
 
 // Guards against a body behind an answer to HEAD, which the client reads as the start of the next answer.
+// Guards against bytes on a client's connection that are no response, and against an exception of the writer,
+// after which the client gets nothing.
+TEST_CASE ("a response that can't be written is replaced, and the connection goes on")
+{
+    using Fields = std::vector<std::pair<std::string, std::string>>;
+    struct Row
+    {
+        std::uint16_t m_status;
+        Fields m_fields;
+        std::string m_contentType;
+        std::string m_body;
+        bool m_isWritten;
+    };
+    const Row rows[] = {
+        { 200, { { "X", "1" } }, "text/plain", "body", true },
+        { 204, {}, "", "", true },
+        { 0, {}, "", "body", false },
+        { 100, {}, "", "", false },
+        { 101, {}, "", "", false },
+        { 999, {}, "", "", false },
+        { 204, {}, "", "body", false },
+        { 304, {}, "", "body", false },
+        { 200, { { "X Y", "1" } }, "", "body", false },
+        { 200, { { "X", "1\r\nY: 2" } }, "", "body", false },
+        { 200, {}, "text/plain\r\nY: 2", "body", false },
+    };
+
+    for (const auto& row : rows)
+    {
+        CAPTURE (row.m_status);
+        asio::io_context context { 1 };
+        std::vector<HttpServerError> errors;
+        HttpServer server (context, { [&row] (const HttpRequest&, const HttpServer::Respond& respond) {
+                                         HttpResponse response;
+                                         response.m_status = row.m_status;
+                                         response.m_headers = row.m_fields;
+                                         response.m_contentType = row.m_contentType;
+                                         response.m_body = row.m_body;
+                                         respond (std::move (response));
+                                         return std::function<void()>();
+                                     },
+                                      [&errors] (HttpServerError error) {
+                                          errors.push_back (error);
+                                          HttpResponse response;
+                                          response.m_status = 502;
+                                          return response;
+                                      } });
+        const auto endpoint = freeEndpoint();
+        REQUIRE (server.listen (endpoint).ok());
+        Client client (endpoint);
+        client.write (request + request);
+        context.run_for (milliseconds (100));
+        std::string received (client.m_socket.available(), '\0');
+        asio::read (client.m_socket, asio::buffer (received));
+        const auto statusLine = fmt::format ("HTTP/1.1 {} ", row.m_isWritten ? row.m_status : 502);
+        CHECK (received.starts_with (statusLine));
+        CHECK (received.find ("\r\n\r\n" + (row.m_isWritten ? row.m_body : "") + statusLine) !=
+               std::string::npos);
+        CHECK (received.find ("Y: 2") == std::string::npos);
+        CHECK (errors ==
+               std::vector<HttpServerError> (row.m_isWritten ? 0 : 2, HttpServerError::unwritableResponse));
+    }
+}
+
 TEST_CASE ("an answer to HEAD has no body")
 {
     bool mayRunAhead = false;
