Tests for responses without end; tell why they are discarded

Tests: responses_malformed (real processes, 16 shapes), and runtime_response_reader for both clients.

--- a/modules/plankledge_runtime/ResponseReader.cpp
+++ b/modules/plankledge_runtime/ResponseReader.cpp
@@ -23,6 +23,13 @@
     if (violation != ResponseError::none)
         return violation;
 
+    if (error == http::error::header_limit || error == http::error::body_limit ||
+        error == http::error::buffer_overflow)
+        return ResponseError::tooLarge;
+
+    if (error == boost::asio::error::no_buffer_space)
+        return ResponseError::noMemory;
+
     const bool isFromParser = error.category() == http::make_error_code (http::error::bad_value).category();
     const bool isCut = error == http::error::end_of_stream || error == http::error::partial_message;
     return isFromParser && ! isCut ? ResponseError::syntax : ResponseError::incomplete;
--- a/tests/responses/MalformedResponses_test.cpp
+++ b/tests/responses/MalformedResponses_test.cpp
@@ -131,6 +131,56 @@
           { "a success without a body", { "HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\n\r\n" } } });
 }
 
+// Guards against a node that reads, and holds in memory, whatever a target sends.
+TEST_CASE ("bytes without end")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp\r\n";
+    const std::string block (1000, 'x');
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::chrono::milliseconds none { 0 };
+    const std::vector<Shape> shapes {
+        { "fields", { head, "X: " + block + "\r\n" } },
+        { "one field", { head + "X: ", block } },
+        { "a name", { head, block } },
+        { "a status line", { "HTTP/1.1 200 ", block } },
+        { "rubbish", { "\x16\x03\x01", block } },
+        { "blank lines", { "", "\r\n\r\n\r\n\r\n" } },
+        { "a body without a length", { head + "\r\n", block } },
+        { "chunks", { chunked, fmt::format ("{:x}\r\n{}\r\n", block.size(), block) } },
+        { "small chunks", { chunked, "1\r\nx\r\n1\r\nx\r\n1\r\nx\r\n" } },
+        { "a chunk size", { chunked, std::string (1000, '0') } },
+        { "chunk extensions", { chunked + "1;", block } },
+        { "trailers", { chunked + "0\r\n", "X: " + block + "\r\n" } },
+        { "interim responses", { "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" } },
+        { "responses to other requests",
+          { "", "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Stamp: stamp\r\nContent-Length: "
+                "4\r\n\r\nbody" } },
+        { "a slow section", { head, "X: 1\r\n", false, none, std::chrono::milliseconds (100) } },
+        { "a slow body", { head + "\r\n", "x", false, none, std::chrono::milliseconds (100) } },
+    };
+    RawResponse response;
+    ResponseScenario scenario ({ [&response] (const std::string&) { return response; } });
+
+    for (const auto& shape : shapes)
+    {
+        CAPTURE (shape.m_name);
+        response = shape.m_response;
+        const bool isSlow = response.m_interval > none;
+        const auto bytes = scenario.exchange ("POST", "/write/x");
+        CAPTURE (bytes);
+        CHECK (isOwnAnswer (bytes, isSlow ? 504 : 502));
+
+        // The connection ends with the request, and so does what the target sends.
+        const auto isOver = [&scenario] { return scenario.target (0).sending() == 0; };
+        CHECK (scenario.runUntil (isOver, std::chrono::seconds (1)));
+    }
+
+    MESSAGE ("memory of the node beside the target: ", scenario.gate (0).peakMemoryBytes());
+    CHECK (scenario.gate (0).peakMemoryBytes() < 32U << 20U);
+    response = makeResponse ("HTTP/1.1 200 OK");
+    CHECK (scenario.exchange ("GET", "/read/x").ends_with ("\r\n\r\nbody"));
+}
+
 // Guards against a target that attracts the requests of its service, since it answers at once with bytes that
 // are no response.
 TEST_CASE ("requests go to the sound one of two targets")
--- a/tests/runtime/ResponseReader_test.cpp
+++ b/tests/runtime/ResponseReader_test.cpp
@@ -470,6 +470,25 @@
     CHECK (interim->m_body == "body");
 }
 
+TEST_CASE ("responses beyond the limits are discarded")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    const auto fields = head + "X: " + std::string (2 * maxHeaderBytes, 'x') + "\r\n\r\n";
+    const auto trailers =
+        head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string (4 * maxHeaderBytes, 'x') +
+        "\r\n\r\n";
+    const auto body = head + "\r\n" + std::string (17U << 20U, 'x');
+    const auto announced = head + "Content-Length: 99999999999\r\n\r\n";
+    Clients clients;
+
+    for (const auto& bytes : { fields, trailers, body, announced })
+    {
+        CAPTURE (bytes.substr (0, 60));
+        CHECK (errorOf (clients.call (bytes, true)) == ResponseError::tooLarge);
+        CHECK (clients.request (bytes).status() == absl::DataLossError ("response discarded: too-large"));
+    }
+}
+
 // Guards against a target that counts as sound, since it answers its health checks with bytes that are no
 // response.
 TEST_CASE ("a target whose health check is answered by no response is not serving")
--- a/tests/untrusted/StubTarget.cpp
+++ b/tests/untrusted/StubTarget.cpp
@@ -79,7 +79,11 @@
 
         if (auto raw = m_makeResponse ? m_makeResponse (target) : std::nullopt; raw.has_value())
         {
-            if (! co_await sendRaw (socket, *std::move (raw), id))
+            ++m_sending;
+            const bool isOpen = co_await sendRaw (socket, *std::move (raw), id);
+            --m_sending;
+
+            if (! isOpen)
                 co_return;
 
             continue;
--- a/tests/untrusted/StubTarget.h
+++ b/tests/untrusted/StubTarget.h
@@ -53,6 +53,9 @@
     /** @returns the number of complete requests received */
     std::size_t requests() const noexcept { return m_requests; }
 
+    /** @returns the number of connections on which bytes of a hook are being sent */
+    std::size_t sending() const noexcept { return m_sending; }
+
 private:
     //==============================================================================
     using Socket = boost::asio::ip::tcp::socket;
@@ -73,6 +76,7 @@
     boost::asio::steady_timer m_timer;
     HttpClient m_client;
     std::size_t m_requests = 0;
+    std::size_t m_sending = 0;
 };
 
 } // namespace plankledge::test
