A stopping node refuses what it can't complete before it exits

What callers saw: a node with a grace time of 6 s took requests for 2.5 s after SIGTERM and passed them on, although their targets worked on them for 3.7 s to 4 s. It exits 0.5 s before it would be killed, and answered them with a 502 of its own then, those that may not be repeated too.

Cause: the node asked how long it had been stopping, not how long a request takes. What its gate had taken from other nodes was cut in the same way.

Change: StopSchedule. From SIGTERM on, an entry accepts a request if its deadline comes before the exit, or if requests of its route usually end by then: mean and four mean deviations of the durations seen at this node, as RFC 6298 estimates a time-out. It refuses others at once with 503, not run, and the time of return. A gate refuses them to their entries, which use other targets at no cost. Calls of the local target are still accepted, since the request that it runs fails without them.

Weighed: the deadline alone refuses, with routes of 5 s, everything after 0.5 s, though most work takes a fraction of that; the longest duration seen lets one slow request in a thousand refuse a whole route.

Two older tests of the stop let requests run first, so that the node knows what they usually take; what they check is the same.

--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -2,6 +2,7 @@
 
 #include "plankledge_core/HttpSyntax.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace plankledge
@@ -549,7 +550,9 @@
 
     m_stoppedAt = m_turn.now();
     m_turn.emit (WriteLog { Notice::drainStarted, {}, 0 });
-    m_entry.stop (m_turn.now());
+    const auto exitsAt = m_turn.now() + std::max (Duration::zero(), m_settings.m_stopGrace - stopMargin);
+    m_entry.stop (m_turn.now(), exitsAt);
+    m_gate.planStop (exitsAt);
     m_turn.timers().set (m_turn.now() + stopCheckPeriod, TimerKind::relayStop);
 }
 
--- a/modules/plankledge_policy/relay/entry/RelayEntry.cpp
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.cpp
@@ -86,7 +86,7 @@
                                 organisation != nullptr ? organisation->m_organisation : nullptr);
     trackServicesOf (request);
 
-    if (isStopping() && ! request.m_isNested && turn.now() - *m_stoppedAt > acceptPeriodAfterStop)
+    if (! isAccepted (request, turn.now()))
         return refuse (turn, received, Reason::draining);
 
     if (! request.m_isNested && ! admit (turn, request, received.m_timeout.value_or (defaultTimeout)))
@@ -99,6 +99,23 @@
     startLimitCheck (turn, id);
 }
 
+/** @returns whether the request is accepted although the node may be stopping. Calls of the local target
+    always are: without them, the request that it is running fails. */
+bool RelayEntry::isAccepted (const Request& request, Time now) const noexcept
+{
+    if (! isStopping() || request.m_isNested)
+        return true;
+
+    return now - *m_stoppedAt <= acceptPeriodAfterStop &&
+           m_stopSchedule.canComplete (request.m_route.m_name, request.m_deadline, now);
+}
+
+void RelayEntry::stop (Time now, Time exitsAt) noexcept
+{
+    m_stoppedAt = now;
+    m_stopSchedule.stop (exitsAt);
+}
+
 RelayEntry::Request RelayEntry::makeRequest (Turn& turn, const RelayRequestReceived& received,
                                              const Route& route, const Organisation* organisation)
 {
@@ -430,6 +447,7 @@
     if (answer.m_result.m_outcome == Outcome::completed)
     {
         ++request.m_attempts;
+        m_stopSchedule.addSample (request.m_route.m_name, turn.now() - request.m_receivedAt, turn.now());
         return finish (turn, id, answer.m_result);
     }
 
@@ -609,6 +627,10 @@
 
     auto& request = found->second;
     request.m_mayHaveRun = request.m_mayHaveRun || ! request.m_instance.empty();
+
+    if (request.m_mayHaveRun)
+        m_stopSchedule.addSample (request.m_route.m_name, turn.now() - request.m_receivedAt, turn.now());
+
     cancelAttempt (turn, request);
     giveUp (turn, id, Reason::deadlineExceeded);
 }
--- a/modules/plankledge_policy/relay/entry/RelayEntry.h
+++ b/modules/plankledge_policy/relay/entry/RelayEntry.h
@@ -11,6 +11,7 @@
 #include "plankledge_policy/relay/gate/TargetGate.h"
 #include "plankledge_policy/relay/limits/OrganisationLimits.h"
 #include "plankledge_policy/relay/routes/RouteSync.h"
+#include "plankledge_policy/relay/routes/StopSchedule.h"
 
 #include <functional>
 #include <map>
@@ -82,8 +83,9 @@
 
     void onPause (Time now) noexcept;
 
-    /** Starts the shutdown: answers close their connections, and new requests are soon refused. */
-    void stop (Time now) noexcept { m_stoppedAt = now; }
+    /** Starts the shutdown: answers close their connections, and new requests are soon refused, those that
+        can't be completed before the exit at once. */
+    void stop (Time now, Time exitsAt) noexcept;
 
     /** Ends all requests, since the node exits, and refuses later ones: requests that have not been sent did
         not run, those that wait for an answer may have. */
@@ -128,6 +130,7 @@
     Duration suggestRetryAfter (Turn& turn, Duration timeLeft) const;
     static Duration spreadRetryAfter (Turn& turn, Duration wait);
     bool isStopping() const noexcept { return m_stoppedAt.has_value(); }
+    bool isAccepted (const Request& request, Time now) const noexcept;
 
     const RelaySettings m_settings;
     const Member m_self;
@@ -144,7 +147,8 @@
     Time m_lastReceivedAt;
     Time m_staleUntil;
     std::optional<Time> m_stoppedAt;
-    bool m_isClosed = false; /**< all requests are refused */
+    StopSchedule m_stopSchedule; /**< of requests from their arrival to their answer */
+    bool m_isClosed = false;     /**< all requests are refused */
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -173,7 +173,7 @@
 {
     const auto& request = call.m_request;
 
-    if (m_isStopping || m_target.isLeaving())
+    if (m_isStopping || m_target.isLeaving() || ! canComplete (call, turn.now()))
         return Reason::draining;
 
     if (! m_isOpen || request.m_service != m_target.service())
@@ -225,6 +225,12 @@
             continue;
         }
 
+        if (! canComplete (m_calls.at (id), turn.now()))
+        {
+            finish (turn, id, refusal (Reason::draining, turn.now()));
+            continue;
+        }
+
         if (isWithheld (m_calls.at (id), turn.now()))
         {
             finish (turn, id, refusal (Reason::crashesTargets, turn.now()));
@@ -325,6 +331,9 @@
     const auto workTime = m_load.workTimeOf (call.m_target, now);
     m_slotTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now, workTime);
 
+    if (! isFailure || now >= call.m_deadline)
+        m_stopSchedule.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now);
+
     if (! isFailure)
         m_serviceTimes.addSample (call.m_request.m_route, now - call.m_dispatchedAt, now, workTime);
 }
@@ -454,6 +463,12 @@
     });
 }
 
+/** @returns whether a call that is dispatched now ends before the node exits */
+bool TargetGate::canComplete (const Call& call, Time now) const noexcept
+{
+    return m_stopSchedule.canComplete (call.m_request.m_route, call.m_deadline, now);
+}
+
 /** Counts a call that ends without being dispatched, if earlier work for its chain is thereby wasted. */
 void TargetGate::countIfLost (Turn& turn, const Call& call) const
 {
@@ -486,6 +501,7 @@
 {
     m_serviceTimes.clear();
     m_slotTimes.clear();
+    m_stopSchedule.clear();
     m_failureRate = 0.0;
     m_level = AdmissionLevel();
     m_rateLimit = {};
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -11,6 +11,7 @@
 #include "plankledge_policy/relay/gate/StatedLoad.h"
 #include "plankledge_policy/relay/gate/TargetRateLimit.h"
 #include "plankledge_policy/relay/routes/CallGraph.h"
+#include "plankledge_policy/relay/routes/StopSchedule.h"
 
 #include <functional>
 #include <map>
@@ -78,6 +79,10 @@
         target has stated a rate limit or that it is leaving. */
     void release (Turn& turn);
 
+    /** The node exits at a time: requests that can't be completed by then are refused, so that their senders
+        use other targets. */
+    void planStop (Time exitsAt) noexcept { m_stopSchedule.stop (exitsAt); }
+
     /** Refuses queued and new requests; running requests complete. */
     void stop (Turn& turn);
 
@@ -148,6 +153,7 @@
     void updateCrashGuard (Turn& turn, const Call& call, TargetReplyKind kind);
     void updateCrashGuard (const LocalTarget::Change& change, bool wasLeaving, Time now);
     bool isWithheld (const Call& call, Time now) const;
+    bool canComplete (const Call& call, Time now) const noexcept;
     void countIfLost (Turn& turn, const Call& call) const;
     void updateOpen (Turn& turn);
 
@@ -173,6 +179,7 @@
     Duration m_queuedWork {};                    /**< slot time of the queued requests */
     RouteTimes m_serviceTimes;                   /**< of successful requests */
     RouteTimes m_slotTimes;                      /**< of all dispatched requests, including failed ones */
+    StopSchedule m_stopSchedule;                 /**< of requests from their dispatch to their end */
     double m_failureRate = 0.0;                  /**< moving average, 0 to 1 */
     Time m_closedUntil;                          /**< set when a connection was refused */
     bool m_isOpen = false;
--- a/tests/relay/gate/DrainingAndShutdown_test.cpp
+++ b/tests/relay/gate/DrainingAndShutdown_test.cpp
@@ -135,10 +135,15 @@
 TEST_CASE ("a stopping entry is not ready, serves requests for a grace period, and exits")
 {
     RelaySite site;
+    site.setTargets (always (TargetReplyKind::answered, Milliseconds (1500)));
+
+    for (int index = 0; index < 20; ++index)
+        site.send ("entry", "usual" + std::to_string (index), "/read/x");
+
+    site.run (seconds (2)); // until it is known how long requests take
     site.applyEvent ("entry", StopRequested {});
     CHECK_FALSE (site.reducer ("entry").relay().isReady());
     const auto soon = site.send ("entry", "a", "/read/x");
-    site.setTargets (always (TargetReplyKind::answered, Milliseconds (1500)));
     site.run (Milliseconds (2300));
     site.send ("entry", "last", "/read/x");
     site.run (Milliseconds (300));
@@ -224,6 +229,11 @@
 TEST_CASE ("an entry that exits at the end of its grace period answers the requests in progress")
 {
     RelaySite site;
+
+    for (int index = 0; index < 20; ++index)
+        site.send ("entry", "usual" + std::to_string (index), "/write/x");
+
+    site.run (seconds (1)); // requests usually take much less than the grace period
     site.setTargets (never);
     site.applyEvent ("entry", StopRequested {});
     site.run (seconds (2));
@@ -242,4 +252,140 @@
     CHECK (site.runsOf ("queued").empty());
 }
 
+//==============================================================================
+namespace
+{
+
+/** An entry node and two nodes of a service, with other times than the usual ones. */
+struct StopSite : RelayRig
+{
+    StopSite (Duration grace, Duration routeTimeout)
+    {
+        settings().m_stopGrace = grace;
+        add ("entry", "web");
+        add ("one", "plans", "zone-a", 400);
+        add ("two", "plans", "zone-a", 400);
+        auto read = makeRoute ("read", "plans");
+        auto write = makeRoute ("write", "plans", false);
+        read.m_timeout = routeTimeout;
+        write.m_timeout = routeTimeout;
+        publish (makeTable (1, { read, write }));
+        run (Milliseconds (100));
+    }
+
+    /** The targets answer each request after this time from now on; sends some and waits for the answers. */
+    void setWork (Duration work, int requests)
+    {
+        setTarget ("one", always (TargetReplyKind::answered, work));
+        setTarget ("two", always (TargetReplyKind::answered, work));
+
+        for (int index = 0; index < requests; ++index)
+            send ("entry", "before-" + std::to_string (index), index % 2 == 0 ? "/read/x" : "/write/x",
+                  seconds (30));
+
+        run (2 * work);
+    }
+
+    /** Stops a node, and sends a request to the entry every 50 ms until the process would be killed.
+
+        @returns the requests, with the time from the stop to their sending
+    */
+    std::vector<std::pair<Ticket, Duration>> sendThroughStop (const InstanceName& stopped, Duration timeout)
+    {
+        if (stopped == "entry")
+            keepExitedProcesses(); // answers what comes after it has decided to exit
+
+        applyEvent (stopped, StopRequested {});
+        const auto stoppedAt = now();
+        std::vector<std::pair<Ticket, Duration>> sent;
+
+        while (now() - stoppedAt < settings().m_stopGrace && ! hasExited ("entry"))
+        {
+            const auto number = sent.size();
+            sent.emplace_back (send ("entry", "through-" + std::to_string (number),
+                                     number % 2 == 0 ? "/read/x" : "/write/x", timeout),
+                               now() - stoppedAt);
+            run (Milliseconds (50));
+        }
+
+        run (timeout + seconds (1));
+        return sent;
+    }
+};
+
+struct StopRow
+{
+    std::string m_name;
+    Duration m_grace;
+    Duration m_routeTimeout;
+    Duration m_senderTimeout;
+    Duration m_work;
+    Duration m_servedFor; /**< requests sent within this time after the stop are completed */
+    int m_requestsBefore = 20;
+};
+
+// A node accepts requests for 2.5 s, and exits 0.5 s before it would be killed.
+const StopRow stopRows[] = {
+    { "short work", seconds (6), seconds (5), seconds (5), Milliseconds (200), Milliseconds (2400) },
+    { "work that ends just before the exit", seconds (6), seconds (5), seconds (5), Milliseconds (2500),
+      Milliseconds (2400) },
+    { "long work", seconds (6), seconds (5), seconds (5), Milliseconds (3800), Milliseconds (500) },
+    { "longer work", seconds (6), seconds (5), seconds (5), Milliseconds (4000), Milliseconds (500) },
+    { "a time limit beyond the grace period", seconds (6), seconds (20), seconds (20), seconds (4),
+      Milliseconds (500) },
+    { "work beyond the grace period", seconds (6), seconds (20), seconds (20), seconds (8), Duration() },
+    { "the same, and nothing is known of the route", seconds (6), seconds (20), seconds (20), seconds (8),
+      Duration(), 0 },
+    { "a sender that waits shorter", seconds (6), seconds (20), seconds (3), Milliseconds (2900),
+      Milliseconds (2400) },
+    { "a short grace period", seconds (3), seconds (5), seconds (5), Milliseconds (1500),
+      Milliseconds (500) },
+    { "a long grace period", seconds (20), seconds (15), seconds (15), seconds (12), Milliseconds (2400) },
+};
+
+} // namespace
+
+// Guards against requests that a stopping node takes although it exits while their targets work on them: its
+// answer then stands in place of the target's, and those that may not be repeated are lost.
+TEST_CASE ("a stopping entry completes what it accepts, and refuses the rest at once")
+{
+    for (const auto& row : stopRows)
+    {
+        CAPTURE (row.m_name);
+        StopSite site (row.m_grace, row.m_routeTimeout);
+        site.setWork (row.m_work, row.m_requestsBefore);
+        std::size_t lost = 0;
+        std::size_t late = 0;
+
+        for (const auto& [ticket, sentAfter] : site.sendThroughStop ("entry", row.m_senderTimeout))
+        {
+            CAPTURE (toMilliseconds (sentAfter));
+            REQUIRE (site.answers().contains (ticket));
+            const auto outcome = site.answers().at (ticket).m_result.m_outcome;
+            lost += outcome == Outcome::unknown ? 1 : 0;
+            late += outcome != Outcome::completed && sentAfter < row.m_servedFor ? 1 : 0;
+        }
+
+        CHECK (lost == 0);
+        CHECK (late == 0);
+    }
+}
+
+TEST_CASE ("requests that a stopping gate can't complete go to other targets")
+{
+    for (const auto& row : stopRows)
+    {
+        CAPTURE (row.m_name);
+        StopSite site (row.m_grace, row.m_routeTimeout);
+        site.setWork (row.m_work, row.m_requestsBefore);
+
+        for (const auto& [ticket, sentAfter] : site.sendThroughStop ("one", row.m_senderTimeout))
+        {
+            CAPTURE (toMilliseconds (sentAfter));
+            REQUIRE (site.answers().contains (ticket));
+            CHECK (site.answers().at (ticket).m_result.m_outcome == Outcome::completed);
+        }
+    }
+}
+
 } // namespace plankledge::test
--- a/tests/responses/ResponseScenario.cpp
+++ b/tests/responses/ResponseScenario.cpp
@@ -126,6 +126,57 @@
     isDone = true;
 }
 
+//==============================================================================
+struct ResponseScenario::KeptConnection
+{
+    explicit KeptConnection (asio::io_context& context)
+        : m_stream (context)
+    {
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    bool m_isOpen = false;
+};
+
+std::shared_ptr<ResponseScenario::KeptConnection> ResponseScenario::connect()
+{
+    return std::make_shared<KeptConnection> (m_context);
+}
+
+void ResponseScenario::send (const std::shared_ptr<KeptConnection>& connection, const std::string& method,
+                             const std::string& path, std::function<void (unsigned)> onAnswer)
+{
+    asio::co_spawn (m_context, sendKept (connection, makeRequest (method, path, false)),
+                    [onAnswer = std::move (onAnswer)] (const std::exception_ptr&, unsigned status) {
+                        onAnswer (status);
+                    });
+}
+
+/** @returns the status of the answer; 0 if there is none */
+asio::awaitable<unsigned> ResponseScenario::sendKept (std::shared_ptr<KeptConnection> connection,
+                                                      std::string request)
+{
+    auto& [stream, buffer, isOpen] = *connection;
+    stream.expires_after (exchangeTimeout);
+
+    if (! isOpen)
+    {
+        stream.close();
+        buffer.clear();
+        const auto [error] = co_await stream.async_connect (toEndpoint (m_entry->outbound()), asTuple);
+
+        if (error)
+            co_return 0;
+    }
+
+    co_await asio::async_write (stream, asio::buffer (request), asTuple);
+    http::response<http::string_body> response;
+    const auto [error, size] = co_await http::async_read (stream, buffer, response, asTuple);
+    isOpen = ! error && response.keep_alive();
+    co_return error ? 0 : response.result_int();
+}
+
 std::size_t ResponseScenario::exchangeAtOnce (std::size_t clients, std::size_t requestsOfEach)
 {
     std::size_t served = 0;
@@ -141,28 +192,10 @@
 asio::awaitable<void> ResponseScenario::exchangeMany (std::size_t requests, std::size_t& served,
                                                       std::size_t& done)
 {
-    beast::tcp_stream stream (m_context);
-    stream.expires_after (std::chrono::seconds (60));
-    beast::flat_buffer buffer;
-    bool isOpen = false;
+    const auto connection = connect();
 
     for (std::size_t index = 0; index < requests; ++index)
-    {
-        if (! isOpen)
-        {
-            stream.close();
-            buffer.clear();
-            const auto [error] = co_await stream.async_connect (toEndpoint (m_entry->outbound()), asTuple);
-            isOpen = ! error;
-        }
-
-        const auto request = makeRequest ("GET", "/read/x", false);
-        co_await asio::async_write (stream, asio::buffer (request), asTuple);
-        http::response<http::string_body> response;
-        const auto [error, size] = co_await http::async_read (stream, buffer, response, asTuple);
-        served += ! error && response.result_int() == 200 ? 1 : 0;
-        isOpen = ! error && response.keep_alive();
-    }
+        served += co_await sendKept (connection, makeRequest ("GET", "/read/x", false)) == 200 ? 1 : 0;
 
     ++done;
 }
--- a/tests/responses/ResponseScenario.h
+++ b/tests/responses/ResponseScenario.h
@@ -38,6 +38,19 @@
     */
     std::string exchange (const std::string& method, const std::string& path);
 
+    /** A client's connection to the entry, which it keeps for one request after the other. */
+    struct KeptConnection;
+
+    /** @returns a connection that is opened with its first request, and again if it was closed */
+    std::shared_ptr<KeptConnection> connect();
+
+    /** Sends a request over a connection that has no other in progress.
+
+        @param onAnswer   receives the status of the answer; 0 if the connection is closed without one
+    */
+    void send (const std::shared_ptr<KeptConnection>& connection, const std::string& method,
+               const std::string& path, std::function<void (unsigned)> onAnswer);
+
     /** Lets clients send one request after the other, each over a connection that it keeps.
 
         @returns the number of answers with status 200
@@ -62,6 +75,8 @@
     //==============================================================================
     boost::asio::awaitable<void> exchangeOne (std::string request, std::string& received, bool& isDone);
     boost::asio::awaitable<void> exchangeMany (std::size_t requests, std::size_t& served, std::size_t& done);
+    boost::asio::awaitable<unsigned> sendKept (std::shared_ptr<KeptConnection> connection,
+                                               std::string request);
     NodeProcess::Options makeOptions (const std::string& instance, const std::string& service, int number);
     std::string makeRequest (const std::string& method, const std::string& path, bool isLast);
 
--- a/tests/untrusted/NodeProcess.cpp
+++ b/tests/untrusted/NodeProcess.cpp
@@ -113,12 +113,18 @@
     ::waitpid (m_process, nullptr, 0);
 }
 
+void NodeProcess::requestStop()
+{
+    if (m_process > 0)
+        ::kill (m_process, SIGTERM);
+}
+
 void NodeProcess::stop()
 {
     if (m_process <= 0)
         return;
 
-    ::kill (m_process, SIGTERM);
+    requestStop();
     ::waitpid (m_process, nullptr, 0);
     m_process = 0;
 }
--- a/tests/untrusted/NodeProcess.h
+++ b/tests/untrusted/NodeProcess.h
@@ -64,6 +64,9 @@
     /** @returns whether the process has not ended */
     bool isRunning();
 
+    /** Asks the process to stop. */
+    void requestStop();
+
     /** Asks the process to stop, and waits until it has ended. */
     void stop();
 
