--- a/tests/responses/ResponseScenario.cpp
+++ b/tests/responses/ResponseScenario.cpp
@@ -47,7 +47,8 @@
 
 } // namespace
 
-ResponseScenario::ResponseScenario (std::vector<StubTarget::MakeResponse> targets)
+ResponseScenario::ResponseScenario (std::vector<StubTarget::MakeResponse> targets,
+                                    const std::function<void (StoreStandin&)>& prepareStore)
     : m_store (m_context)
 {
     const auto process = static_cast<unsigned> (::getpid());
@@ -56,33 +57,51 @@
         fmt::format ("{}/plankledge-responses-{}", std::filesystem::temp_directory_path().string(), process);
     std::filesystem::create_directories (m_folder);
     m_store.put ("keyed.op", "config", configuration);
+
+    if (prepareStore)
+        prepareStore (m_store);
+
     m_entry = std::make_unique<NodeProcess> (makeOptions ("entry-0", "entry", 2));
     m_entryTarget = std::make_unique<StubTarget> (m_context, *m_entry);
 
     for (auto& makeResponse : targets)
-    {
-        const auto number = static_cast<int> (m_gates.size());
-        m_gates.push_back (std::make_unique<NodeProcess> (
-            makeOptions (fmt::format ("gate-{}", number), "gate", number + 3)));
-        m_targets.push_back (std::make_unique<StubTarget> (
-            m_context, *m_gates.back(), [makeResponse = std::move (makeResponse)] (const std::string& path) {
-                return path == usualPath ? std::nullopt : makeResponse (path);
-            }));
-    }
+        addGate (std::move (makeResponse));
+
+    REQUIRE (reachAllTargets());
+}
 
+ResponseScenario::~ResponseScenario()
+{
+    m_entry.reset();
+    m_gates.clear();
+    std::filesystem::remove_all (m_folder);
+}
+
+void ResponseScenario::addGate (StubTarget::MakeResponse makeResponse)
+{
+    const auto number = static_cast<int> (m_gates.size());
+    m_gates.push_back (
+        std::make_unique<NodeProcess> (makeOptions (fmt::format ("gate-{}", number), "gate", number + 3)));
+    m_targets.push_back (std::make_unique<StubTarget> (
+        m_context, *m_gates.back(), [makeResponse = std::move (makeResponse)] (const std::string& path) {
+            return path == usualPath ? std::nullopt : makeResponse (path);
+        }));
+}
+
+bool ResponseScenario::reachAllTargets()
+{
     const auto areAllReached = [this] {
         exchange ("GET", std::string (usualPath));
         return std::all_of (m_targets.begin(), m_targets.end(),
                             [] (const auto& target) { return target->requests() > 0; });
     };
-    REQUIRE (runUntil (areAllReached, startTimeout));
+    return runUntil (areAllReached, startTimeout);
 }
 
-ResponseScenario::~ResponseScenario()
+bool ResponseScenario::isRunning()
 {
-    m_entry.reset();
-    m_gates.clear();
-    std::filesystem::remove_all (m_folder);
+    return m_entry->isRunning() &&
+           std::all_of (m_gates.begin(), m_gates.end(), [] (const auto& gate) { return gate->isRunning(); });
 }
 
 NodeProcess::Options ResponseScenario::makeOptions (const std::string& instance, const std::string& service,
--- a/tests/responses/ResponseScenario.h
+++ b/tests/responses/ResponseScenario.h
@@ -23,9 +23,11 @@
     //==============================================================================
     /** Starts the nodes and waits until all targets of the service have been reached.
 
-        @param targets   of the service, a node for each
+        @param targets       of the service, a node for each
+        @param prepareStore  called before the nodes start; may be empty
     */
-    explicit ResponseScenario (std::vector<StubTarget::MakeResponse> targets);
+    explicit ResponseScenario (std::vector<StubTarget::MakeResponse> targets,
+                               const std::function<void (StoreStandin&)>& prepareStore = nullptr);
     ~ResponseScenario();
 
     ResponseScenario (const ResponseScenario&) = delete;
@@ -57,6 +59,16 @@
     */
     std::size_t exchangeAtOnce (std::size_t clients, std::size_t requestsOfEach);
 
+    /** Starts another node of the service, with its target. */
+    void addGate (StubTarget::MakeResponse makeResponse);
+
+    /** @returns whether every target of the service has been reached within 15 s */
+    bool reachAllTargets();
+
+    /** @returns whether all processes are running */
+    bool isRunning();
+
+    StoreStandin& store() noexcept { return m_store; }
     StubTarget& target (std::size_t index) { return *m_targets.at (index); }
     NodeProcess& gate (std::size_t index) { return *m_gates.at (index); }
     NodeProcess& entry() { return *m_entry; }
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -1,5 +1,9 @@
 #include "support/StoreStandin.h"
 
+#include "plankledge_core/Logger.h"
+
+#include <absl/algorithm/container.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,6 +19,31 @@
 
 constexpr std::size_t listPageSize = 3; // small, so that tests cover paging
 
+/** Decodes "%20" and the like (RFC 3986, section 2.1). */
+std::string decodePercent (std::string_view text)
+{
+    std::string decoded;
+
+    for (std::size_t index = 0; index < text.size(); ++index)
+    {
+        const auto hex = text.substr (index + 1, 2);
+
+        if (text[index] == '%' && hex.size() == 2 && absl::c_all_of (hex, [] (char digit) {
+                return absl::ascii_isxdigit (static_cast<unsigned char> (digit));
+            }))
+        {
+            decoded += absl::HexStringToBytes (absl::string_view (hex.data(), hex.size()));
+            index += 2;
+        }
+        else
+        {
+            decoded += text[index];
+        }
+    }
+
+    return decoded;
+}
+
 std::string queryValue (const std::string& target, const std::string& name)
 {
     const auto start = target.find (name + "=");
@@ -23,7 +52,7 @@
         return {};
 
     const auto from = start + name.size() + 1;
-    return target.substr (from, target.find ('&', from) - from);
+    return decodePercent (std::string_view (target).substr (from, target.find ('&', from) - from));
 }
 
 HttpResponse makeStatus (std::uint16_t status, std::string body = "{}")
@@ -154,8 +183,9 @@
     auto at = entry.m_newest.upper_bound (after);
 
     for (; at != entry.m_newest.end() && count < listPageSize; ++at, ++count)
-        items += fmt::format (R"({}{{"tlsKey":"{}","value":"{}","offset":{}}})", count > 0 ? "," : "",
-                              at->first, absl::Base64Escape (at->second.second), at->second.first);
+        items +=
+            fmt::format (R"({}{{"tlsKey":"{}","value":"{}","offset":{}}})", count > 0 ? "," : "",
+                         escapeJson (at->first), absl::Base64Escape (at->second.second), at->second.first);
 
     return makeStatus (200, fmt::format (R"({{"items":[{}],"morePages":{},"endKey":{}}})", items,
                                          at != entry.m_newest.end(), entry.m_first + entry.m_records.size()));
