Read the list of instances past an odd entry

What callers saw: one entry that another writer left in the platform's list, with a port out of range, a number that is too large or very deep nesting, and every node of the own interface stopped following the list: it learned of no instance that came or left until the entry was gone.

Cause: decodeList refused the whole list for one invalid entry, and an entry that Boost.JSON can't parse made the whole text unreadable.

Change: findJsonElements finds the entries without interpreting them, in bounded stack; each is parsed by itself. Invalid ones are left out and reported as wrong-shape, as before.

On the users' platform, where each record is a text of its own, such records did no harm before (responses_odd_records).

--- a/modules/plankledge_formats/PlatformJson.cpp
+++ b/modules/plankledge_formats/PlatformJson.cpp
@@ -1,5 +1,7 @@
 #include "plankledge_formats/PlatformJson.h"
 
+#include "plankledge_formats/JsonElements.h"
+
 #include <array>
 #include <boost/json.hpp>
 #include <charconv>
@@ -161,30 +163,26 @@
     return page;
 }
 
-absl::StatusOr<std::vector<ListedInstance>> decodeList (const std::string& text)
+absl::StatusOr<InstanceList> decodeList (const std::string& text)
 {
-    const auto object = parseObject (text);
-
-    if (! object.ok())
-        return object.status();
+    const auto entries = findJsonElements (text, "instances");
 
-    Fields fields (*object);
-    const auto* entries = fields.array ("instances");
-
-    if (entries == nullptr)
-        return toStatus (PlatformError::wrongShape);
+    if (! entries.has_value())
+        return toStatus (PlatformError::notJson);
 
-    std::vector<ListedInstance> list;
-    list.reserve (entries->size());
+    InstanceList list;
+    list.m_instances.reserve (entries->size());
 
-    for (const auto& entry : *entries)
+    for (const auto entry : *entries)
     {
-        auto listed = decodeListedInstance (entry);
-
-        if (! listed.ok())
-            return listed.status();
-
-        list.push_back (*std::move (listed));
+        boost::system::error_code error;
+        const auto value = json::parse (json::string_view (entry.data(), entry.size()), error);
+        auto listed = decodeListedInstance (error ? json::value() : value);
+
+        if (listed.ok())
+            list.m_instances.push_back (*std::move (listed));
+        else
+            ++list.m_unreadable;
     }
 
     return list;
--- a/modules/plankledge_formats/PlatformJson.h
+++ b/modules/plankledge_formats/PlatformJson.h
@@ -44,6 +44,15 @@
     auto operator<=> (const LogPage&) const = default;
 };
 
+/** The platform's list of instances. */
+struct InstanceList
+{
+    std::vector<ListedInstance> m_instances;
+    std::size_t m_unreadable = 0; /**< entries that are invalid, as another writer may leave them */
+
+    auto operator<=> (const InstanceList&) const = default;
+};
+
 /** Streams of this system in the platform's log. */
 inline constexpr std::string_view configurationStream = "plankledge-configuration";
 inline constexpr std::string_view joinStream = "plankledge-joins";
@@ -58,9 +67,9 @@
 /** Decodes `{"instances":[{"instance","service","zone","address","port","state"}]}`.
     The state is "live" or "leaving".
 
-    @returns the instances; notJson or wrongShape if any of them is invalid
+    @returns the valid entries, and the number of others; notJson if the text is no object with a list
 */
-absl::StatusOr<std::vector<ListedInstance>> decodeList (const std::string& text);
+absl::StatusOr<InstanceList> decodeList (const std::string& text);
 
 /** @returns the data of a configuration record, as JSON */
 std::string encodeConfigurationRecord (const ConfigurationRecord& record);
--- a/modules/plankledge_runtime/LogEdge.cpp
+++ b/modules/plankledge_runtime/LogEdge.cpp
@@ -30,8 +30,13 @@
     m_client.fetchList ([this] (const auto& list) {
         reportError (list.status());
 
-        if (list.ok())
-            m_node.submit (ListReceived { *list });
+        if (! list.ok())
+            return;
+
+        if (list->m_unreadable > 0)
+            reportError (toStatus (PlatformError::wrongShape));
+
+        m_node.submit (ListReceived { list->m_instances });
     });
 }
 
--- a/modules/plankledge_runtime/PlatformClient.cpp
+++ b/modules/plankledge_runtime/PlatformClient.cpp
@@ -21,7 +21,7 @@
 {
 }
 
-void PlatformClient::fetchList (std::function<void (absl::StatusOr<std::vector<ListedInstance>>)> done)
+void PlatformClient::fetchList (std::function<void (absl::StatusOr<InstanceList>)> done)
 {
     HttpRequest request;
     request.m_target = "/instances";
--- a/modules/plankledge_runtime/PlatformClient.h
+++ b/modules/plankledge_runtime/PlatformClient.h
@@ -20,7 +20,7 @@
     PlatformClient (boost::asio::io_context& context, const Endpoint& platform);
 
     /** Fetches the list. Does not call done if the list has not changed since the last call. */
-    void fetchList (std::function<void (absl::StatusOr<std::vector<ListedInstance>>)> done);
+    void fetchList (std::function<void (absl::StatusOr<InstanceList>)> done);
 
     void readLog (std::string_view stream, LogOffset from,
                   std::function<void (absl::StatusOr<LogPage>)> done);
