A target whose response is discarded has not crashed

What callers would have seen: targets in trouble answer for a while with bytes that are no response, each such answer counts as a broken connection, and after three of them sound requests are held in the whole fleet as ones that crash targets.

Cause: the crash guard took every call without a complete answer for a connection that broke.

Change: only an answer that ends early is evidence of a crash. A target that sends a response, even a wrong one, runs.

Measured: relay_repeated_crashes, seven kinds of broken answers in virtual time: six reported crashes before that were none, now only the one that is cut off does.

--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -314,7 +314,7 @@
     }
 
     addSample (call, turn.now(), isFailure);
-    updateCrashGuard (turn, call, reply.m_kind);
+    updateCrashGuard (turn, call, reply);
 
     if (! isAnswered)
         turn.emit (detail::logFailedDispatch (call, { m_target.id(), result.m_reason, reply.m_error },
@@ -407,9 +407,15 @@
     m_isStatusDirty = true;
 }
 
-void TargetGate::updateCrashGuard (Turn& turn, const Call& call, TargetReplyKind kind)
+void TargetGate::updateCrashGuard (Turn& turn, const Call& call, const TargetReply& reply)
 {
-    switch (kind)
+    // A target that sends a response, even one that is discarded, has not crashed.
+    const bool isCutOff = reply.m_error == ResponseError::none || reply.m_error == ResponseError::incomplete;
+
+    if (reply.m_kind == TargetReplyKind::broken && ! isCutOff)
+        return;
+
+    switch (reply.m_kind)
     {
     case TargetReplyKind::answered:
         return m_hooks.m_crashes.onAnswered (turn, call.m_request.m_digest);
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -150,7 +150,7 @@
     std::optional<TargetRestriction> restriction() const;
     RelayResult refusal (Reason reason, Time now) const;
     Duration capacityOfPeriod (Duration requested) const;
-    void updateCrashGuard (Turn& turn, const Call& call, TargetReplyKind kind);
+    void updateCrashGuard (Turn& turn, const Call& call, const TargetReply& reply);
     void updateCrashGuard (const LocalTarget::Change& change, bool wasLeaving, Time now);
     bool isWithheld (const Call& call, Time now) const;
     bool canComplete (const Call& call, Time now) const noexcept;
--- a/tests/relay/crashes/RepeatedCrashes_test.cpp
+++ b/tests/relay/crashes/RepeatedCrashes_test.cpp
@@ -1,5 +1,6 @@
 #include "plankledge_policy/relay/crashes/CrashHistory.h"
 #include "support/CrashSite.h"
+#include "support/RelaySite.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -248,4 +249,38 @@
     MESSAGE (requests, " requests, ", site.crashes().size(), " crashes");
 }
 
+//==============================================================================
+// Guards against sound requests that are held in the whole fleet, since targets in trouble sent bytes that
+// are no response to them.
+TEST_CASE ("a target whose responses are discarded has not crashed")
+{
+    for (const auto& [error, isCrash] :
+         { std::pair { ResponseError::incomplete, true }, std::pair { ResponseError::syntax, false },
+           std::pair { ResponseError::status, false }, std::pair { ResponseError::lineFolding, false },
+           std::pair { ResponseError::missingField, false }, std::pair { ResponseError::tooLarge, false },
+           std::pair { ResponseError::noMemory, false } })
+    {
+        CAPTURE (nameOf (error));
+        RelaySite site;
+        site.setTargets (
+            [error = error] (RelayRig& rig, const InstanceName& instance, const RelayToTarget& dispatch) {
+                TargetReply reply;
+                reply.m_call = dispatch.m_call;
+                reply.m_kind = TargetReplyKind::broken;
+                reply.m_error = error;
+                rig.replyWith (instance, reply, Milliseconds (20));
+            });
+
+        for (int index = 0; index < 20; ++index)
+        {
+            site.send ("entry", std::to_string (index), "/write/" + std::to_string (index));
+            site.run (Milliseconds (50));
+        }
+
+        const auto reports =
+            site.reducer ("one").counters().m_crashReports + site.reducer ("two").counters().m_crashReports;
+        CHECK ((reports > 0) == isCrash);
+    }
+}
+
 } // namespace plankledge::test
