One copy of which statuses end an exchange

Cause: ResponseReader had bounds of its own beside those of HttpSyntax.

Change: it uses isFinalStatus and isInterimStatus.

--- a/modules/plankledge_core/HttpSyntax.cpp
+++ b/modules/plankledge_core/HttpSyntax.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr unsigned minStatus = 100;
+constexpr unsigned switchingProtocols = 101;
 constexpr unsigned minFinalStatus = 200;
 constexpr unsigned maxStatus = 599;
 constexpr unsigned noContent = 204;
@@ -36,6 +38,11 @@
     return status >= minFinalStatus && status <= maxStatus;
 }
 
+bool isInterimStatus (unsigned status) noexcept
+{
+    return status >= minStatus && status < minFinalStatus && status != switchingProtocols;
+}
+
 bool isBodilessStatus (unsigned status) noexcept
 {
     return status == noContent || status == notModified;
--- a/modules/plankledge_core/HttpSyntax.h
+++ b/modules/plankledge_core/HttpSyntax.h
@@ -12,6 +12,10 @@
 /** @returns whether a response of this status ends an exchange: 200 to 599 (RFC 9110, section 15) */
 bool isFinalStatus (unsigned status) noexcept;
 
+/** @returns whether another response to the same request follows one of this status: 100 to 199, but not 101,
+             which is the last one in HTTP */
+bool isInterimStatus (unsigned status) noexcept;
+
 /** @returns whether responses of this status have no body: 204 and 304 */
 bool isBodilessStatus (unsigned status) noexcept;
 
--- a/modules/plankledge_runtime/ResponseReader.cpp
+++ b/modules/plankledge_runtime/ResponseReader.cpp
@@ -14,8 +14,6 @@
 /** The number of interim responses that are skipped; servers send one or two. */
 constexpr unsigned maxInterimResponses = 8;
 
-constexpr unsigned minStatus = 100;
-constexpr unsigned maxStatus = 599;
 constexpr unsigned http11 = 11; // as Beast counts versions
 
 ResponseError classify (const beast::error_code& error, ResponseError violation) noexcept
@@ -88,9 +86,8 @@
 ResponseError ResponseParser::findViolation() const
 {
     const auto status = get().result_int();
-    const bool isSwitching = get().result() == http::status::switching_protocols;
 
-    if (status < minStatus || status > maxStatus || isSwitching)
+    if (! isFinalStatus (status) && ! isInterimStatus (status))
         return ResponseError::status;
 
     // No other coding was asked for, and a message of HTTP/1.0 has none (RFC 9112, sections 6.1 and 7.4).
--- a/modules/plankledge_runtime/ResponseReader.h
+++ b/modules/plankledge_runtime/ResponseReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plankledge_core/HttpSyntax.h"
 #include "plankledge_core/ResponseError.h"
 #include "plankledge_runtime/MessageReader.h"
 
@@ -48,12 +49,10 @@
     boost::beast::error_code check (std::string_view bytes) noexcept;
 
     /** @returns whether another response to the same request follows */
-    bool isInterim() const { return get().result_int() < firstFinalStatus; }
+    bool isInterim() const { return isInterimStatus (get().result_int()); }
 
 private:
     //==============================================================================
-    static constexpr unsigned firstFinalStatus = 200;
-
     ResponseError findViolation() const;
 
     void on_field_impl (boost::beast::http::field field, boost::beast::string_view name,
