Test that an operator finds the target and the rule it broke

Cause: the counter and the field of gate-ended had no test of their own.

Change: the test of two targets compares the counter by reason with what the broken target was sent, and looks for the line in the log.

--- a/tests/responses/MalformedResponses_test.cpp
+++ b/tests/responses/MalformedResponses_test.cpp
@@ -197,6 +197,13 @@
              scenario.target (0).requests() - before);
     CHECK (scenario.target (0).requests() - before < 96);
     CHECK (served > 864);
+
+    // An operator finds the target and the rule.
+    CHECK (scenario.counter (scenario.gate (0),
+                             "plankledge_target_responses_discarded_total{reason=\"status\"}") ==
+           scenario.target (0).requests() - before);
+    CHECK (scenario.gate (0).log().find (
+               R"("reason":"target-broken","error":"status","target":"gate-0-target")") != std::string::npos);
 }
 
 } // namespace plankledge::test
