--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,7 +25,7 @@
 
 def configuration(version, key):
     """A configuration whose first tenant has this key, or none."""
-    rules = [("/work/", "web", "non_idempotent", 2)]
+    rules = [("/order/", "web", "non_idempotent", 2)]
     rules += [(f"/idle{number:05d}/", "web", "idempotent", 1.2) for number in range(ROUTES)]
     tenants = {f"tenant{number:02d}": [f"key{number:02d}aaaaaaaaaaaaaaa", f"key{number:02d}bbbbbbbbbbbbbbb"]
                for number in range(TENANTS)}
@@ -66,7 +66,7 @@
 
         async def send(request, used):
             sent[request] = (record.now(), used[0])
-            answer = await s.ask(nodes[0].outbound, "POST", "/work/x",
+            answer = await s.ask(nodes[0].outbound, "POST", "/order/x",
                                  {"Request-Id": request, "Deadline-Ms": 2000,
                                   "Authorization": f"Bearer {used[1]}"}, b"order", timeout=3)
             answers[request] = answer.m_status if answer else None
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -28,7 +28,7 @@
     ip = lambda host: network + str(host)
     store = s.Store()
     await store.listen(ip(1))
-    store.append("keyed.op", b"config", s.configuration(3, [("/work/", "api", "non_idempotent", 3)]))
+    store.append("keyed.op", b"config", s.configuration(3, [("/order/", "api", "non_idempotent", 3)]))
     nodes, upstreams = [], []
     try:
         for number, service in enumerate(("web", "api", "api")):
@@ -48,7 +48,7 @@
 
         async def send(request):
             sent = record.now()
-            answer = await s.ask(nodes[0].outbound, "POST", "/work/x",
+            answer = await s.ask(nodes[0].outbound, "POST", "/order/x",
                                  {"Request-Id": request, "Deadline-Ms": DEADLINE_MS}, b"order", timeout=4)
             answers[request] = (sent, answer.m_status if answer else None)
             record.write(f"{request} sent at {sent:.3f}: {answers[request][1]}")
