--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -7,9 +7,12 @@
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/endian/conversion.hpp>
 #include <fmt/format.h>
+#include <memory>
 #include <stdexcept>
+#include <utility>
 
 namespace plankledge::test
 {
@@ -80,7 +83,8 @@
 
 //==============================================================================
 StoreStandin::StoreStandin (boost::asio::io_context& context)
-    : m_server (context, { [this] (const HttpRequest& request, const HttpServer::Respond& respond) {
+    : m_context (context)
+    , m_server (context, { [this] (const HttpRequest& request, const HttpServer::Respond& respond) {
                               return onRequest (request, respond);
                           },
                            [] (HttpServerError) { return makeStatus (400); } })
@@ -100,10 +104,25 @@
     };
 }
 
+HttpServer::Respond StoreStandin::withDelay (const HttpServer::Respond& respond) const
+{
+    if (m_responseDelay.count() == 0)
+        return respond;
+
+    return [this, respond, delay = m_responseDelay] (HttpResponse response) {
+        const auto timer = std::make_shared<boost::asio::steady_timer> (m_context, delay);
+        timer->async_wait (
+            [timer, respond, response = std::move (response)] (const auto&) { respond (response); });
+    };
+}
+
 std::function<void()> StoreStandin::onRequest (const HttpRequest& request,
                                                const HttpServer::Respond& respondWithoutEra)
 {
-    const auto respond = withEra (respondWithoutEra);
+    if (m_onCall)
+        m_onCall (request.m_target);
+
+    const auto respond = withEra (withDelay (respondWithoutEra));
     const auto topic = queryValue (request.m_target, "topic");
 
     if (m_fault == Fault::noResponse)
@@ -124,7 +143,15 @@
     else if (request.m_target.starts_with ("/-/log-newest"))
         respond (list (topic, m_fault == Fault::repeatedPage ? "" : queryValue (request.m_target, "after")));
     else if (request.m_target.starts_with ("/-/log-read"))
-        read (topic, std::stoul (queryValue (request.m_target, "startKey")), respond);
+    {
+        const auto from = std::stoul (queryValue (request.m_target, "startKey"));
+        const std::chrono::milliseconds maxWait (std::stol (queryValue (request.m_target, "waitMs")));
+
+        if (isBlocking (m_topics[topic], from) && maxWait.count() > 0)
+            wait (topic, from, maxWait, respond);
+        else
+            read (topic, from, respond);
+    }
     else
         respond (makeStatus (404));
 
@@ -194,6 +221,11 @@
 }
 
 //==============================================================================
+bool StoreStandin::isBlocking (const Topic& topic, std::size_t from) const
+{
+    return m_fault != Fault::allGone && from == topic.m_first + topic.m_records.size();
+}
+
 void StoreStandin::read (const std::string& topic, std::size_t from, const HttpServer::Respond& respond)
 {
     const auto& entry = m_topics[topic];
@@ -201,10 +233,33 @@
     if (m_fault == Fault::allGone || from < entry.m_first || from > entry.m_first + entry.m_records.size())
         return respond (makeStatus (410, fmt::format (R"({{"firstOffset":{}}})", entry.m_first)));
 
-    if (from < entry.m_first + entry.m_records.size())
-        return respond (page (entry, from));
+    respond (page (entry, from));
+}
+
+void StoreStandin::wait (const std::string& topic, std::size_t from, std::chrono::milliseconds maxWait,
+                         const HttpServer::Respond& respond)
+{
+    m_waiting.push_back ({ ++m_lastWaiting, topic, from, respond });
+    const auto timer = std::make_shared<boost::asio::steady_timer> (m_context, maxWait);
+    timer->async_wait ([this, timer, number = m_lastWaiting] (const auto&) { endWait (number); });
+}
+
+/** Ends a blocking read without records, unless it has ended. */
+void StoreStandin::endWait (std::uint64_t number)
+{
+    const auto found =
+        absl::c_find_if (m_waiting, [number] (const Waiting& waiting) { return waiting.m_number == number; });
+
+    if (found == m_waiting.end())
+        return;
+
+    const auto reader = std::move (*found);
+    m_waiting.erase (found);
 
-    m_waiting.push_back ({ topic, from, respond });
+    if (m_fault == Fault::noResponse)
+        m_unanswered.push_back (reader.m_respond);
+    else
+        read (reader.m_topic, reader.m_from, reader.m_respond);
 }
 
 HttpResponse StoreStandin::page (const Topic& topic, std::size_t from) const
@@ -213,7 +268,12 @@
     auto bytes = bigEndian (m_fault == Fault::negativeOffsets ? 0 - end : end) +
                  bigEndian (static_cast<std::uint64_t> (topic.m_first));
 
-    for (auto index = from - topic.m_first; index < topic.m_records.size(); ++index)
+    const auto first = from - topic.m_first;
+    const auto count = m_fault == Fault::emptyReads       ? 0
+                       : m_fault == Fault::truncatedReads ? 1
+                                                          : topic.m_records.size() - first;
+
+    for (auto index = first; index < first + count; ++index)
     {
         const auto& record = topic.m_records[index];
         bytes += bigEndian (static_cast<std::uint32_t> (1 + record.m_key.size() + record.m_value.size()));
@@ -226,11 +286,11 @@
 
 void StoreStandin::wakeReaders()
 {
-    auto waiting = std::move (m_waiting);
-    m_waiting.clear();
-
-    for (auto& reader : waiting)
-        read (reader.m_topic, reader.m_from, reader.m_respond);
+    for (auto& reader : std::exchange (m_waiting, {}))
+        if (isBlocking (m_topics[reader.m_topic], reader.m_from))
+            m_waiting.push_back (std::move (reader));
+        else
+            read (reader.m_topic, reader.m_from, reader.m_respond);
 }
 
 } // namespace plankledge::test
