The store's stand-in reads no record beyond the end

platform_store_catch_up crashed once in a run of all tests (88, four at a time, beside a build) and in 1 of 3 runs after it: with truncated reads, a blocking read that ended without records returned one beyond the last. Change: a response holds at most the records that there are.

--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/endian/conversion.hpp>
@@ -269,9 +270,11 @@
                  bigEndian (static_cast<std::uint64_t> (topic.m_first));
 
     const auto first = from - topic.m_first;
-    const auto count = m_fault == Fault::emptyReads       ? 0
-                       : m_fault == Fault::truncatedReads ? 1
-                                                          : topic.m_records.size() - first;
+    const auto available = topic.m_records.size() - first;
+    const std::size_t limit = m_fault == Fault::emptyReads       ? 0
+                              : m_fault == Fault::truncatedReads ? 1
+                                                                 : available;
+    const auto count = std::min (available, limit);
 
     for (auto index = first; index < first + count; ++index)
     {
