A restarted node knows that its target was leaving

Callers saw requests reach a target whose leaving its node had acknowledged: the nodes were killed, and a ping of the target from before arrived up to 4 s late. When the target ended, requests were lost with it.

Cause: what a target states was kept in processes only. If its node and all that it had told are killed, nobody remembers, and the first announcement after a start was believed. Where a peer does remember, the restarted node kept this for its own requests but not for its gate, and ignored answers of peers that came after a second. Ruled out: the order of announcements (with no kill the same late ping changes nothing).

What peers answer applies to the gate. If the store has not answered every call of the process, a second announcement is required. A late announcement of a target that is known to be leaving no longer replaces the current one.

--- a/modules/plankledge_formats/PlatformJson.cpp
+++ b/modules/plankledge_formats/PlatformJson.cpp
@@ -224,15 +224,53 @@
     return decoded;
 }
 
-std::string encodeJoinRecord (const Member& member)
+namespace
+{
+
+constexpr std::string_view leavingTargetField = "leaving_target";
+constexpr std::string_view startTimeField = "started_at_us"; // microseconds since the Unix epoch
+
+json::object encodeIncarnation (const TargetIncarnation& target)
 {
-    return json::serialize (json::object { { "kind", "join" },
-                                           { "instance", member.m_id.m_instance },
-                                           { "incarnation", std::to_string (member.m_id.m_incarnation) },
-                                           { "service", member.m_service },
-                                           { "zone", member.m_zone },
-                                           { "address", member.m_endpoint.m_ip },
-                                           { "port", member.m_endpoint.m_port } });
+    json::object encoded { { "id", target.m_target } };
+
+    if (target.m_startedAt.has_value())
+        encoded[startTimeField] = target.m_startedAt->count();
+
+    return encoded;
+}
+
+/** @returns nullopt if the value is no incarnation */
+std::optional<TargetIncarnation> decodeIncarnation (const json::value& value)
+{
+    if (! value.is_object())
+        return std::nullopt;
+
+    Fields fields (value.as_object());
+    TargetIncarnation decoded { fields.text ("id", std::string::npos) };
+
+    if (value.as_object().contains (startTimeField))
+        decoded.m_startedAt = Duration (fields.integer (startTimeField));
+
+    return fields.isValid() ? std::optional (decoded) : std::nullopt;
+}
+
+} // namespace
+
+std::string encodeJoinRecord (const Member& member, const std::optional<TargetIncarnation>& leavingTarget)
+{
+    json::object record { { "kind", "join" },
+                          { "instance", member.m_id.m_instance },
+                          { "incarnation", std::to_string (member.m_id.m_incarnation) },
+                          { "service", member.m_service },
+                          { "zone", member.m_zone },
+                          { "address", member.m_endpoint.m_ip },
+                          { "port", member.m_endpoint.m_port } };
+
+    if (leavingTarget.has_value())
+        record[leavingTargetField] = encodeIncarnation (*leavingTarget);
+
+    return json::serialize (record);
 }
 
 absl::StatusOr<JoinRecord> decodeJoinRecord (const LogRecord& record)
@@ -259,6 +297,14 @@
     if (! fields.isValid() || kind != "join" || ! isNumber || decoded.m_member.m_id.m_instance.empty())
         return toStatus (PlatformError::badRecord);
 
+    if (const auto* leaving = object->if_contains (leavingTargetField); leaving != nullptr)
+    {
+        decoded.m_leavingTarget = decodeIncarnation (*leaving);
+
+        if (! decoded.m_leavingTarget.has_value())
+            return toStatus (PlatformError::badRecord);
+    }
+
     return decoded;
 }
 
--- a/modules/plankledge_formats/PlatformJson.h
+++ b/modules/plankledge_formats/PlatformJson.h
@@ -77,8 +77,12 @@
 /** @returns the record, or badRecord */
 absl::StatusOr<ConfigurationRecord> decodeConfigurationRecord (const LogRecord& record);
 
-/** @returns the data of a join record, as JSON */
-std::string encodeJoinRecord (const Member& member);
+/** @param leavingTarget   see PublishMember
+
+    @returns the data of a join record, as JSON
+*/
+std::string encodeJoinRecord (const Member& member,
+                              const std::optional<TargetIncarnation>& leavingTarget = std::nullopt);
 
 /** @returns the record, or badRecord */
 absl::StatusOr<JoinRecord> decodeJoinRecord (const LogRecord& record);
--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -243,10 +243,12 @@
 struct PublishMember
 {
     Member m_member;
+    std::optional<TargetIncarnation>
+        m_leavingTarget {}; /**< last incarnation of its target known to be leaving */
 
     auto operator<=> (const PublishMember&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_member); }
+    template <class Archive> void serialize (Archive& archive) { archive (m_member, m_leavingTarget); }
 };
 
 /** Deletes a node's member record from the store. */
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -254,10 +254,14 @@
 {
     LogOffset m_offset = -1;
     Member m_member;
+    std::optional<TargetIncarnation> m_leavingTarget {}; /**< see PublishMember */
 
     auto operator<=> (const JoinRecord&) const = default;
 
-    template <class Archive> void serialize (Archive& archive) { archive (m_offset, m_member); }
+    template <class Archive> void serialize (Archive& archive)
+    {
+        archive (m_offset, m_member, m_leavingTarget);
+    }
 };
 
 /** Part of the join stream was read. */
@@ -397,12 +401,17 @@
     std::vector<InstanceName> m_unreadable {}; /**< whose newest record is invalid */
     StorePosition
         m_end {}; /**< end of the records read so far; without an offset: the listing is incomplete */
+    std::optional<TargetIncarnation> m_leavingTarget {}; /**< stated by this node's record, if it was read */
+    bool m_isOwnRecordKnown =
+        true; /**< this process has read the newest record of its node, or that there is
+                 none, and none of its calls to the store has failed: a failed one may
+                 mean that the store was away when the record should have been written */
 
     auto operator<=> (const MembersRead&) const = default;
 
     template <class Archive> void serialize (Archive& archive)
     {
-        archive (m_members, m_withdrawn, m_unreadable, m_end);
+        archive (m_members, m_withdrawn, m_unreadable, m_end, m_leavingTarget, m_isOwnRecordKnown);
     }
 };
 
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -76,11 +76,14 @@
     , m_contacts (turn.settings().m_self)
     , m_store (turn.settings().m_self, m_peers)
     , m_crashes (turn.settings().m_self.m_id, m_peers)
-    , m_gate (settings,
-              { [this] (Turn& inner, const RelayAnswer& answer) {
-                   m_entry.onAnswer (inner, m_peers.self(), answer);
-               },
-                [this] (Turn&) { onGateChanged(); }, [this] { return m_routes.version(); }, m_crashes })
+    , m_gate (settings, { [this] (Turn& inner, const RelayAnswer& answer) {
+                             m_entry.onAnswer (inner, m_peers.self(), answer);
+                         },
+                          [this] (Turn&) { onGateChanged(); },
+                          [this] (Turn& inner, const TargetIncarnation& target) {
+                              m_store.onTargetLeaving (inner, target);
+                          },
+                          [this] { return m_routes.version(); }, m_crashes })
     , m_entry (settings, turn.settings().m_self,
                { m_routes, m_peers, m_calls, m_gate, m_keys, m_limits, m_crashes,
                  [this] (const ServiceName& service) { trackService (service); } })
@@ -305,6 +308,12 @@
 
 void RelayDecisions::handle (const MembersRead& event)
 {
+    if (event.m_leavingTarget.has_value())
+        m_gate.onRestrictionReported (m_turn, { *event.m_leavingTarget, std::nullopt, true });
+
+    if (event.m_isOwnRecordKnown)
+        m_gate.confirmLeaving (m_turn);
+
     addMembers (event.m_members, event.m_withdrawn, "store");
 
     if (m_store.onRead (m_turn, event))
@@ -445,6 +454,10 @@
         m_calls.setPeerEdges (from.m_instance, *message.m_calls);
     }
 
+    // Applied also when the gate is no longer held: the peer may answer late.
+    if (message.m_restriction.has_value())
+        m_gate.onRestrictionReported (m_turn, *message.m_restriction);
+
     if (m_isGateHeld)
     {
         if (message.m_restriction.has_value())
--- a/modules/plankledge_policy/relay/gate/LocalTarget.cpp
+++ b/modules/plankledge_policy/relay/gate/LocalTarget.cpp
@@ -20,6 +20,9 @@
 /** Bound on m_earlyGone, since announcements can name arbitrary target ids. */
 constexpr std::size_t maxEarlyGone = 1000;
 
+/** Bound on m_leaving for incarnations that other nodes report. */
+constexpr std::size_t maxReportedLeaving = 1000;
+
 } // namespace
 
 //==============================================================================
@@ -44,11 +47,22 @@
         return markLeaving (sender);
 
     if (announced.m_sequence > m_announced.m_sequence)
+    {
         m_announced = announced;
+        m_isSingleAnnouncementEnough = true;
+    }
 
     return Change::none;
 }
 
+LocalTarget::Change LocalTarget::onLeavingStated (const TargetIncarnation& leaving)
+{
+    if (leaving != incarnation() && m_leaving.size() >= maxReportedLeaving)
+        return Change::none;
+
+    return markLeaving (leaving);
+}
+
 /** Guards against a late announcement of an earlier incarnation replacing the current one. */
 bool LocalTarget::isStale (const TargetIncarnation& sender, Time now) const
 {
@@ -60,7 +74,7 @@
         return other.m_target == sender.m_target && other.m_startedAt >= sender.m_startedAt;
     };
 
-    if (isNotLater (incarnation()))
+    if (isNotLater (incarnation()) || m_leaving.contains (sender))
         return true;
 
     // While the current target is announced, one that it superseded or that started earlier is stale.
@@ -140,7 +154,7 @@
 
 bool LocalTarget::isServing (Time now) const noexcept
 {
-    return ! id().empty() && ! isLeaving() && isRecentlyAnnounced (now);
+    return ! id().empty() && ! isLeaving() && isRecentlyAnnounced (now) && m_isSingleAnnouncementEnough;
 }
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/gate/LocalTarget.h
+++ b/modules/plankledge_policy/relay/gate/LocalTarget.h
@@ -17,6 +17,10 @@
     incarnation, and a node that has just started accepts none before the first announcement.
     Announcements may arrive late, out of order, and from an incarnation that has ended.
 
+    A node that has restarted doesn't remember which incarnations are leaving. Until it has learned that
+    from elsewhere, it takes a single announcement for one that may have been sent before the target left:
+    a target is served only after a second one with a higher sequence number.
+
     Of two incarnations under one id, the one with the later start is the newer. Within an
     incarnation, announcements are ordered by their sequence number. Start times are compared
     only among targets on this instance, so they are all read from one clock.
@@ -42,11 +46,18 @@
     */
     Change onAnnounced (const TargetAnnounced& announced, Time now);
 
-    /** Applies that an incarnation of the target has stated outside its announcements that it is leaving.
+    /** Applies that an incarnation of the target, also one that has not been announced to this process, is
+        leaving.
 
         @returns Change::leaving if this was not known
     */
-    Change onLeavingStated (const TargetIncarnation& incarnation) { return markLeaving (incarnation); }
+    Change onLeavingStated (const TargetIncarnation& incarnation);
+
+    /** Requires a second announcement before a target is served, until confirmLeaving() is called. */
+    void requireSecondAnnouncement() noexcept { m_isSingleAnnouncementEnough = false; }
+
+    /** Must be called when all incarnations are known that were leaving when this process started. */
+    void confirmLeaving() noexcept { m_isSingleAnnouncementEnough = true; }
 
     /** @returns whether the target was announced recently and is not leaving */
     bool isServing (Time now) const noexcept;
@@ -77,6 +88,7 @@
     Time m_lastAnnouncedAt;
     Time m_currentSince;           /**< when the current incarnation was first announced */
     bool m_isGoneReceived = false; /**< for the current incarnation */
+    bool m_isSingleAnnouncementEnough = true;
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -67,6 +67,8 @@
     : m_hooks (std::move (hooks))
     , m_target (settings.m_announcementPeriod)
 {
+    if (! settings.m_isFirstStart)
+        m_target.requireSecondAnnouncement();
 }
 
 //==============================================================================
@@ -384,17 +386,20 @@
     m_hooks.m_crashes.detector().onLeaving();
     turn.emit (detail::logAnnounced (m_target));
     updateOpen (turn);
+    m_hooks.m_onTargetLeaving (turn, m_target.incarnation());
 }
 
-/** Applies what a peer remembers of this target from before this node restarted. */
 void TargetGate::onRestrictionReported (Turn& turn, const TargetRestriction& restriction)
 {
-    if (restriction.m_target != m_target.incarnation())
-        return;
-
     if (restriction.m_isLeaving)
         onLeavingStated (turn, restriction.m_target);
 
+    if (restriction.m_target != m_target.incarnation())
+    {
+        m_reported = restriction;
+        return;
+    }
+
     const auto before = m_rateLimit.perSecond();
 
     if (restriction.m_rateLimit.has_value() && m_rateLimit.adopt (*restriction.m_rateLimit, turn.now()))
@@ -495,10 +500,20 @@
         endRunning (turn);
 
     if (change == LocalTarget::Change::replaced || change == LocalTarget::Change::restarted)
+    {
         resetTargetState (turn);
 
+        if (const auto reported = std::exchange (m_reported, std::nullopt); reported.has_value())
+            onRestrictionReported (turn, *reported);
+    }
+
     updateOpen (turn);
     dispatchNext (turn);
+
+    if (m_target.isLeaving())
+        m_hooks.m_onTargetLeaving (turn, m_target.incarnation());
+    else if (announced.m_state == AnnouncedState::gone && m_target.id().empty())
+        m_hooks.m_onTargetLeaving (turn, { announced.m_target, std::nullopt });
 }
 
 /** Discards the measurements of the previous incarnation. Queued requests are kept, since they were not
@@ -643,6 +658,12 @@
     updateOpen (turn);
 }
 
+void TargetGate::confirmLeaving (Turn& turn)
+{
+    m_target.confirmLeaving();
+    updateOpen (turn);
+}
+
 void TargetGate::stop (Turn& turn)
 {
     m_isStopping = true;
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -46,6 +46,10 @@
             was replaced, or the admission level changed considerably. */
         std::function<void (Turn&)> m_onStatusChanged;
 
+        /** Called when the target, or one that has not been announced yet, is leaving; may be called again.
+         */
+        std::function<void (Turn&, const TargetIncarnation&)> m_onTargetLeaving;
+
         /** @returns the version of the active routes, which is sent with each answer */
         std::function<ConfigurationVersion()> m_version;
 
@@ -79,6 +83,13 @@
         target has stated a rate limit or that it is leaving. */
     void release (Turn& turn);
 
+    /** Applies what was known of this target before this node restarted. */
+    void onRestrictionReported (Turn& turn, const TargetRestriction& restriction);
+
+    /** Must be called when all incarnations of the target that were leaving at the start of this process have
+        been reported. Until then the gate opens only after a second announcement. */
+    void confirmLeaving (Turn& turn);
+
     /** The node exits at a time: requests that can't be completed by then are refused, so that their senders
         use other targets. */
     void planStop (Time exitsAt) noexcept { m_stopSchedule.stop (exitsAt); }
@@ -144,7 +155,6 @@
     void updateQueuedWork (Time now);
     void onCondition (Turn& turn, const Call& call, const TargetCondition& condition);
     void onLeavingStated (Turn& turn, const TargetIncarnation& target);
-    void onRestrictionReported (Turn& turn, const TargetRestriction& restriction);
     void onRateLimitChanged (Turn& turn, std::optional<double> before);
     void setRateLimitTimer (Turn& turn, Time due);
     std::optional<TargetRestriction> restriction() const;
@@ -160,6 +170,7 @@
     Hooks m_hooks;
     LocalTarget m_target;
     TargetRateLimit m_rateLimit;
+    std::optional<TargetRestriction> m_reported; /**< the latest one of a target that is not announced */
     StatedLoad m_load;
     std::optional<Time> m_rateLimitTimerDue; /**< nullopt: none pending */
     bool m_isStatusDirty = false;            /**< to be sent to peers at the end of the window */
--- a/modules/plankledge_policy/relay/store/StoreSync.cpp
+++ b/modules/plankledge_policy/relay/store/StoreSync.cpp
@@ -204,10 +204,20 @@
 {
     const auto before = m_directory.end();
     m_directory.apply (read);
+    ensureLeavingTarget (turn, read);
     ensureOwnRecord (turn, read);
     return m_directory.end() > before;
 }
 
+void StoreSync::onTargetLeaving (Turn& turn, const TargetIncarnation& target)
+{
+    if (m_leavingTarget == target)
+        return;
+
+    m_leavingTarget = target;
+    publish (turn, "target is leaving");
+}
+
 bool StoreSync::onMembersUpdate (Turn& turn, const MembersUpdate& update)
 {
     if (update.m_end <= m_directory.end())
@@ -289,6 +299,24 @@
     publish (turn, isRemoved ? "gone" : isReplaced ? "another address" : "none there");
 }
 
+/** Adopts the leaving target that the own record states from before a restart. Writes the record again if it
+    lacks the present one: an earlier append may have taken effect late, or the store may have lost it. */
+void StoreSync::ensureLeavingTarget (Turn& turn, const MembersRead& read)
+{
+    const bool isOwnRecordRead =
+        std::any_of (read.m_members.begin(), read.m_members.end(), [this] (const Member& member) {
+            return member.m_id.m_instance == m_self.m_id.m_instance;
+        });
+
+    if (! isOwnRecordRead || read.m_leavingTarget == m_leavingTarget)
+        return;
+
+    if (! m_leavingTarget.has_value())
+        m_leavingTarget = read.m_leavingTarget;
+    else
+        publish (turn, "target is leaving");
+}
+
 /** Schedules the write at a random time. Otherwise all nodes whose records were lost would write at once, and
     the store would reject most of them. */
 void StoreSync::scheduleRewrite (Turn& turn)
@@ -313,7 +341,7 @@
 void StoreSync::publish (Turn& turn, const char* reason)
 {
     m_isPublished = true;
-    turn.emit (PublishMember { m_self });
+    turn.emit (PublishMember { m_self, m_leavingTarget });
     turn.emit (LogDecision { Decision::memberPublished, {}, { { "reason", reason } } });
 }
 
--- a/modules/plankledge_policy/relay/store/StoreSync.h
+++ b/modules/plankledge_policy/relay/store/StoreSync.h
@@ -18,7 +18,7 @@
     A node writes its own record only if the store has none with its address, so a restart at
     the same address writes nothing. The first follower of a zone withdraws the records of
     nodes that have been unreachable for long; a node that is still running then writes its
-    record again.
+    record again. The record also states which incarnation of the target was last leaving.
 
     The primary follower is the one whose reads of the routes time out soon enough to detect
     that the store has stopped answering.
@@ -78,6 +78,10 @@
     */
     bool onMembersUpdate (Turn& turn, const MembersUpdate& update);
 
+    /** Writes to the own record that an incarnation of the target is leaving, so that this node still knows
+       it after a restart. Does nothing if the record already says so. */
+    void onTargetLeaving (Turn& turn, const TargetIncarnation& target);
+
     /** Must be called when the store becomes reachable or unreachable. */
     void onReached (const StoreReachabilityChanged& event, Time now);
 
@@ -102,6 +106,7 @@
     void listMembersWhenDue (Turn& turn);
     void publish (Turn& turn, const char* reason);
     void ensureOwnRecord (Turn& turn, const MembersRead& read);
+    void ensureLeavingTarget (Turn& turn, const MembersRead& read);
     void scheduleRewrite (Turn& turn);
     void rewriteWhenDue (Turn& turn);
     void withdrawUnreachableNodes (Turn& turn);
@@ -128,6 +133,7 @@
     StoreEra m_checkedEra = 0;       /**< of the records that were last searched for the own record */
     std::optional<Time> m_rewriteAt; /**< when to write the own record that the store has lost */
     bool m_isPublished = false;
+    std::optional<TargetIncarnation> m_leavingTarget; /**< stated by the own record */
 };
 
 } // namespace plankledge
--- a/tests/formats/PlatformJson_test.cpp
+++ b/tests/formats/PlatformJson_test.cpp
@@ -96,6 +96,34 @@
     }
 }
 
+// Guards against a restarted node that misreads which target was leaving, and serves it.
+TEST_CASE ("a join record states the leaving target, with or without its start time")
+{
+    const Member member { { "node-1", 7 }, "plans", "a", { "10.0.0.1", 7000 }, MemberState::joining, 0 };
+    const std::optional<TargetIncarnation> targets[] = {
+        std::nullopt, TargetIncarnation { "i-7f\"3a", std::nullopt },
+        TargetIncarnation { "i-7f", Duration (1765000000123456) },
+        TargetIncarnation { std::string (500, 'x'), Duration (0) }
+    };
+
+    for (const auto& target : targets)
+    {
+        const auto decoded = decodeJoinRecord ({ 3, encodeJoinRecord (member, target) });
+        REQUIRE (decoded.ok());
+        CHECK (decoded->m_member == member);
+        CHECK (decoded->m_leavingTarget == target);
+    }
+
+    const auto valid = encodeJoinRecord (member);
+
+    for (const std::string leaving : { "7", "[]", "{}", R"({"id":7})", R"({"id":"a","started_at_us":"1"})" })
+    {
+        CAPTURE (leaving);
+        const auto text = valid.substr (0, valid.size() - 1) + R"(,"leaving_target":)" + leaving + "}";
+        CHECK_FALSE (decodeJoinRecord ({ 3, text }).ok());
+    }
+}
+
 TEST_CASE ("cutting a list anywhere is an error")
 {
     const auto text =
--- a/tests/relay/gate/LocalTarget_test.cpp
+++ b/tests/relay/gate/LocalTarget_test.cpp
@@ -162,6 +162,57 @@
     CHECK (target.isServing (now));
 }
 
+// Guards against a restarted node that serves a target again which left before, since its last announcement
+// arrives late.
+TEST_CASE (
+    "a target is served after a second announcement if that is required, or once leaving ones are known")
+{
+    const Time now { std::chrono::hours (1) };
+    const auto serving = [] (std::uint64_t sequence) {
+        return announced ("a", AnnouncedState::serving, sequence);
+    };
+
+    for (const bool isConfirmed : { false, true })
+    {
+        CAPTURE (isConfirmed);
+        LocalTarget target (announcementPeriod);
+        target.requireSecondAnnouncement();
+        target.onAnnounced (serving (5), now);
+        CHECK_FALSE (target.isServing (now));
+
+        // Repeated, and out of order: both may have been sent before the target left.
+        target.onAnnounced (serving (5), now);
+        target.onAnnounced (serving (4), now);
+        CHECK_FALSE (target.isServing (now));
+
+        if (isConfirmed)
+            target.confirmLeaving();
+        else
+            target.onAnnounced (serving (6), now);
+
+        CHECK (target.isServing (now));
+    }
+}
+
+TEST_CASE ("a target that is known to be leaving before it is announced is not served, and replaces no other")
+{
+    const Time now { std::chrono::hours (1) };
+    LocalTarget target (announcementPeriod);
+    target.onLeavingStated ({ "a", std::nullopt });
+    target.onAnnounced (announced ("a", AnnouncedState::serving, 5), now);
+    CHECK (target.isLeaving());
+    CHECK_FALSE (target.isServing (now));
+    target.onAnnounced (announced ("b", AnnouncedState::serving, 1), now);
+    target.onAnnounced (announced ("a", AnnouncedState::serving, 6), now);
+    CHECK (target.id() == "b");
+    CHECK (target.isServing (now));
+
+    // The same id, started again.
+    target.onAnnounced (announcedWithStart (200, "a", AnnouncedState::serving, 1), now);
+    CHECK (target.id() == "a");
+    CHECK (target.isServing (now));
+}
+
 TEST_CASE (
     "a target restarted under its id has new slots and a new address, and its sequence numbers start over")
 {
--- a/tests/runtime/NodeRestart_test.cpp
+++ b/tests/runtime/NodeRestart_test.cpp
@@ -125,4 +125,36 @@
     CHECK (scenario.history().arrivalsAt (target, killedAt) == 0);
 }
 
+// Guards against a target that gets requests again after its leaving was acknowledged: its node was killed,
+// and an announcement from before arrives late.
+TEST_CASE ("no request reaches a target that has left after the nodes were killed")
+{
+    for (const bool areAllKilled : { true, false })
+    {
+        CAPTURE (areAllKilled);
+        RestartScenario scenario (3);
+        scenario.run (seconds (3));
+        scenario.runUnderLoad (seconds (1));
+        auto& target = scenario.node (0).target();
+        const auto id = target.id();
+        REQUIRE (scenario.history().arrivalsAt (id, Time()) > 0);
+        target.withdraw (areAllKilled ? Milliseconds (2200) : Milliseconds (4000));
+        scenario.runUnderLoad (Milliseconds (400));
+        scenario.node (0).kill (Milliseconds (500));
+
+        if (! areAllKilled)
+            scenario.runUnderLoad (seconds (1));
+
+        scenario.node (1).kill (Milliseconds (500));
+
+        if (areAllKilled)
+            scenario.node (2).kill (Milliseconds (500));
+
+        const auto killedAt = BootClock::now();
+        scenario.runUnderLoad (Milliseconds (4500));
+        CHECK (target.id() == id);
+        CHECK (scenario.history().arrivalsAt (id, killedAt) == 0);
+    }
+}
+
 } // namespace plankledge::test
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -15,6 +15,9 @@
 
 /** Longer than the time within which nodes must stop sending to a draining target. */
 constexpr std::chrono::milliseconds drainPeriod { 3500 };
+constexpr std::chrono::milliseconds withdrawnPeriod {
+    6500
+}; // beyond that in which it may still get requests
 constexpr std::chrono::milliseconds pauseBeforeRestart { 500 };
 
 constexpr unsigned queueLengthPerSlot = 2;
@@ -147,6 +150,7 @@
     , m_outbound (context, [this] (CallId call,
                                    const TargetClient::Result& answer) { onCallCompleted (call, answer); })
     , m_announceTimer (context)
+    , m_lateAnnouncementTimer (context)
     , m_incarnationTimer (context)
 {
     if (! m_server.listen (m_options.m_listen).ok())
@@ -266,29 +270,15 @@
 {
     m_id = fmt::format ("{}-target-{}", m_options.m_instance, ++m_incarnation);
     m_isDraining = false;
+    m_isWithdrawn = false;
     m_rateLimit.reset();
     m_isServing = true;
 }
 
 void SoakTarget::announce()
 {
-    if (m_isServing)
-    {
-        HttpRequest request;
-        request.m_method = "PUT";
-        request.m_target = "/-/instances/" + m_id;
-        request.m_contentType = "application/json";
-        request.m_body = fmt::format (
-            R"({{"service":"{}","address":"{}:{}","zone":"{}","slots":{},"state":"{}","coldLeftS":0,"callSeq":{}}})",
-            m_options.m_service, m_options.m_advertised.m_ip, m_options.m_advertised.m_port, m_options.m_zone,
-            m_options.m_slots, m_isDraining && m_isDrainAnnounced ? "draining" : "ready", ++m_sequence);
-        m_announcer.send (
-            m_options.m_control, std::move (request), announcementTimeout,
-            [this, id = m_id, isDraining = m_isDraining && m_isDrainAnnounced] (const auto& answer) {
-                if (isDraining && answer.ok() && answer->m_status == 200)
-                    m_runHistory.onDrainAcknowledged (id, BootClock::now());
-            });
-    }
+    if (m_isServing && ! m_isWithdrawn)
+        sendAnnouncement (++m_sequence);
 
     m_announceTimer.expires_after (announcementPeriod);
     m_announceTimer.async_wait ([this] (const boost::system::error_code& error) {
@@ -297,9 +287,58 @@
     });
 }
 
+void SoakTarget::sendAnnouncement (std::uint64_t sequence)
+{
+    const bool isDraining = m_isDraining && m_isDrainAnnounced;
+    HttpRequest request;
+    request.m_method = "PUT";
+    request.m_target = "/-/instances/" + m_id;
+    request.m_contentType = "application/json";
+    request.m_body = fmt::format (
+        R"({{"service":"{}","address":"{}:{}","zone":"{}","slots":{},"state":"{}","coldLeftS":0,"callSeq":{}}})",
+        m_options.m_service, m_options.m_advertised.m_ip, m_options.m_advertised.m_port, m_options.m_zone,
+        m_options.m_slots, isDraining ? "draining" : "ready", sequence);
+    m_announcer.send (m_options.m_control, std::move (request), announcementTimeout,
+                      [this, id = m_id, isDraining] (const auto& answer) {
+                          if (isDraining && answer.ok() && answer->m_status == 200)
+                              m_runHistory.onDrainAcknowledged (id, BootClock::now());
+                      });
+}
+
+void SoakTarget::sendWithdrawal()
+{
+    HttpRequest request;
+    request.m_method = "DELETE";
+    request.m_target = "/-/instances/" + m_id;
+    m_announcer.send (m_options.m_control, std::move (request), announcementTimeout,
+                      [this, id = m_id, isServing = m_isServing] (const auto& answer) {
+                          if (isServing && answer.ok() && answer->m_status == 200)
+                              m_runHistory.onDrainAcknowledged (id, BootClock::now());
+                      });
+}
+
+void SoakTarget::withdraw (Duration announcementDelay)
+{
+    if (m_isDraining || m_isWithdrawn || ! m_isServing)
+        return;
+
+    m_isWithdrawn = true;
+    sendWithdrawal();
+    m_lateAnnouncementTimer.expires_after (announcementDelay);
+    m_lateAnnouncementTimer.async_wait ([this] (const boost::system::error_code& error) {
+        if (! error && m_isWithdrawn)
+            sendAnnouncement (m_sequence);
+    });
+    m_incarnationTimer.expires_after (withdrawnPeriod);
+    m_incarnationTimer.async_wait ([this] (const boost::system::error_code& error) {
+        if (! error)
+            endIncarnation();
+    });
+}
+
 void SoakTarget::drain (bool isAnnounced)
 {
-    if (m_isDraining || ! m_isServing)
+    if (m_isDraining || m_isWithdrawn || ! m_isServing)
         return;
 
     m_isDraining = true;
@@ -314,10 +353,10 @@
 void SoakTarget::endIncarnation()
 {
     m_isServing = false;
-    HttpRequest request;
-    request.m_method = "DELETE";
-    request.m_target = "/-/instances/" + m_id;
-    m_announcer.send (m_options.m_control, std::move (request), announcementTimeout, [] (const auto&) {});
+
+    if (! m_isWithdrawn)
+        sendWithdrawal();
+
     m_incarnationTimer.expires_after (pauseBeforeRestart);
     m_incarnationTimer.async_wait ([this] (const boost::system::error_code& error) {
         if (! error)
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -69,6 +69,13 @@
     */
     void drain (bool isAnnounced = true);
 
+    /** Announces that it has gone, but serves requests for a while longer, then stops and restarts as a new
+        incarnation. Its last announcement from before arrives late.
+
+        @param announcementDelay   from now until that announcement arrives
+    */
+    void withdraw (Duration announcementDelay);
+
     /** States a rate limit in its answers for a while. */
     void limitRate (double perSecond, Duration duration);
 
@@ -86,6 +93,8 @@
     HttpResponse makeAnswer (const std::string& requestId, std::uint16_t status, bool ran);
     void startIncarnation();
     void announce();
+    void sendAnnouncement (std::uint64_t sequence);
+    void sendWithdrawal();
     void endIncarnation();
 
     boost::asio::io_context& m_context;
@@ -97,6 +106,7 @@
     HttpClient m_announcer;
     TargetClient m_outbound;
     boost::asio::steady_timer m_announceTimer;
+    boost::asio::steady_timer m_lateAnnouncementTimer;
     boost::asio::steady_timer m_incarnationTimer;
     std::map<CallId, std::shared_ptr<Job>> m_jobsByCall;
     std::string m_id;
@@ -112,6 +122,7 @@
     bool m_isDraining = false;
     bool m_isDrainAnnounced = false;
     bool m_isServing = false;
+    bool m_isWithdrawn = false;
 };
 
 } // namespace plankledge::soak
--- a/tests/support/StoreFleet.cpp
+++ b/tests/support/StoreFleet.cpp
@@ -51,12 +51,20 @@
     RelayRig::kill (instance);
     m_readers.erase ({ instance, StoreTopic::members });
     m_readers.erase ({ instance, StoreTopic::routes });
+    std::erase_if (m_unwritten, [&] (const auto& unwritten) { return unwritten.first == instance; });
+    std::erase_if (m_pendingEffects, [&] (const auto& pending) { return pending.first == instance; });
+}
+
+void StoreFleet::restartProcess (const InstanceName& instance)
+{
+    m_nodesWithFailedCalls.erase (instance);
+    start (instance);
 }
 
 void StoreFleet::restart (const InstanceName& instance)
 {
     kill (instance);
-    start (instance);
+    restartProcess (instance);
     announce (instance);
 }
 
@@ -82,6 +90,14 @@
     m_records.emplace_back (instance, std::nullopt);
 }
 
+void StoreFleet::overwriteRecord (const InstanceName& instance)
+{
+    const auto first = std::find_if (m_records.begin(), m_records.end(),
+                                     [&] (const auto& record) { return record.first == instance; });
+    m_records.push_back (Record (*first));
+    applyEvent (instance, recordsSince (instance, 0));
+}
+
 //==============================================================================
 void StoreFleet::run (Duration duration)
 {
@@ -94,6 +110,7 @@
         for (const auto& [instance, effect] : std::exchange (m_pendingEffects, {}))
             onEffect (instance, effect);
 
+        retryAppends();
         readAll();
     }
 }
@@ -115,18 +132,32 @@
     }
     else if (const auto* publish = std::get_if<PublishMember> (&effect))
     {
-        append (instance, publish->m_member);
+        append (instance, { instance, *publish });
     }
     else if (const auto* withdraw = std::get_if<WithdrawMember> (&effect))
     {
-        append (withdraw->m_instance, std::nullopt);
+        append (instance, { withdraw->m_instance, std::nullopt });
     }
 }
 
-void StoreFleet::append (const InstanceName& instance, std::optional<Member> member)
+void StoreFleet::append (const InstanceName& writer, Record record)
 {
     ++m_calls;
-    m_records.emplace_back (instance, std::move (member));
+
+    if (isReachable (writer))
+        m_records.push_back (std::move (record));
+    else
+        m_unwritten.emplace_back (writer, std::move (record));
+}
+
+/** Writes the records that the store rejected, as soon as it is reachable. */
+void StoreFleet::retryAppends()
+{
+    for (auto& [writer, record] : std::exchange (m_unwritten, {}))
+        if (isReachable (writer))
+            m_records.push_back (std::move (record));
+        else
+            m_unwritten.emplace_back (writer, std::move (record));
 }
 
 bool StoreFleet::isReachable (const InstanceName& instance) const
@@ -174,6 +205,7 @@
 
     if (! isReachable (instance))
     {
+        m_nodesWithFailedCalls.insert (instance);
         setStoreReachable (instance, topic, reader, false);
         reader.m_notBefore = now() + storeResponseTimeout + retryDelay;
         return;
@@ -227,27 +259,38 @@
     }
 
     reader.m_notBefore = now() + delayBetweenReads;
-    std::map<InstanceName, std::optional<Member>> newest;
 
     // In a new era all records are read again.
-    const auto first = from.m_era == m_era ? std::max<LogOffset> (0, from.m_offset) : 0;
+    applyEvent (instance,
+                recordsSince (instance, from.m_era == m_era ? std::max<LogOffset> (0, from.m_offset) : 0));
+}
 
-    for (auto offset = first; offset < endOf (topic).m_offset; ++offset)
+/** @returns the newest records among those from an offset on, as a node reads them */
+MembersRead StoreFleet::recordsSince (const InstanceName& reader, LogOffset first) const
+{
+    std::map<InstanceName, std::optional<PublishMember>> newest;
+
+    for (auto offset = first; offset < endOf (StoreTopic::members).m_offset; ++offset)
         newest[m_records[static_cast<std::size_t> (offset)].first] =
             m_records[static_cast<std::size_t> (offset)].second;
 
     MembersRead read;
-    read.m_end = endOf (topic);
+    read.m_end = endOf (StoreTopic::members);
+    read.m_isOwnRecordKnown =
+        (first == 0 || newest.contains (reader)) && ! m_nodesWithFailedCalls.contains (reader);
 
-    for (const auto& [name, member] : newest)
+    for (const auto& [name, record] : newest)
     {
-        if (member.has_value())
-            read.m_members.push_back (*member);
-        else
+        if (! record.has_value())
             read.m_withdrawn.push_back (name);
+        else
+            read.m_members.push_back (record->m_member);
+
+        if (record.has_value() && name == reader)
+            read.m_leavingTarget = record->m_leavingTarget;
     }
 
-    applyEvent (instance, read);
+    return read;
 }
 
 void StoreFleet::confirm (const InstanceName& instance, StoreTopic topic, const Reader& reader)
--- a/tests/support/StoreFleet.h
+++ b/tests/support/StoreFleet.h
@@ -30,12 +30,20 @@
     /** Kills a node's process and cancels its reads of the store. */
     void kill (const InstanceName& instance);
 
-    /** Restarts a node's process, which loses its state. */
+    /** Starts a node's process, which was killed and has lost its state. The target is not announced. */
+    void restartProcess (const InstanceName& instance);
+
+    /** Restarts a node's process, which loses its state, and announces its target. */
     void restart (const InstanceName& instance);
 
     /** Withdraws a node's record without notifying the node. */
     void withdrawRecord (const InstanceName& instance);
 
+    /** Appends the node's first record again, as a delayed append does, and lets the node read it. */
+    void overwriteRecord (const InstanceName& instance);
+
+    std::size_t recordCount() const noexcept { return m_records.size(); }
+
     /** Restores the store from a backup that lacks the newest member records and versions of the routes.
         Offsets are reused in a new era. */
     void restoreBackup (std::size_t recordsLost, std::size_t versionsLost);
@@ -60,6 +68,9 @@
 
 private:
     //==============================================================================
+    /** A member record and its key; nullopt: the key is deleted. */
+    using Record = std::pair<InstanceName, std::optional<PublishMember>>;
+
     /** State of a node's reads of one topic. */
     struct Reader
     {
@@ -75,7 +86,9 @@
     };
 
     void onEffect (const InstanceName& instance, const Effect& effect);
-    void append (const InstanceName& instance, std::optional<Member> member);
+    void append (const InstanceName& writer, Record record);
+    void retryAppends();
+    MembersRead recordsSince (const InstanceName& reader, LogOffset first) const;
     void readAll();
     void readOne (const InstanceName& instance, StoreTopic topic, Reader& reader);
     void call (const InstanceName& instance, StoreTopic topic, Reader& reader);
@@ -87,7 +100,10 @@
     StorePosition endOf (StoreTopic topic) const;
 
     std::vector<InstanceName> m_names;
-    std::vector<std::pair<InstanceName, std::optional<Member>>> m_records;
+    std::vector<Record> m_records;
+    std::vector<std::pair<InstanceName, Record>>
+        m_unwritten;                               /**< by writer; while the store rejects its calls */
+    std::set<InstanceName> m_nodesWithFailedCalls; /**< since their start */
     std::vector<std::string> m_routes;
     std::map<std::pair<InstanceName, StoreTopic>, Reader> m_readers;
     std::vector<std::pair<InstanceName, Effect>> m_pendingEffects; /**< since the last step */
