A health check whose answer is cut off doesn't leave the target serving

Seen in a test made after a report of other operators (answers that end inside their header section): a target of the own interface went on counting as serving although its health checks were cut off.

Cause: TargetEdge::probe() took a refused connection and a malformed response for a failure, but not a connection that ended before the response did. Change: each failed health check counts, except one that timed out.

Measured: runtime_response_reader failed in both new rows before (2 of 19,428 assertions) and passes now. The same test cuts six header sections at each byte for both HTTP clients; these were errors before as well.

--- a/modules/plankledge_runtime/TargetEdge.cpp
+++ b/modules/plankledge_runtime/TargetEdge.cpp
@@ -100,7 +100,7 @@
 
             if (response.ok())
                 processResponse (*response);
-            else if (absl::IsUnavailable (response.status()) || absl::IsDataLoss (response.status()))
+            else if (! absl::IsDeadlineExceeded (response.status())) // a busy target may answer late
                 updateState (TargetState::unreachable);
         });
     }
--- a/tests/runtime/ResponseReader_test.cpp
+++ b/tests/runtime/ResponseReader_test.cpp
@@ -470,6 +470,32 @@
     CHECK (interim->m_body == "body");
 }
 
+// Guards against an empty or short response, made of a header section that never ended.
+TEST_CASE ("a response that ends inside its header section is an error for both clients, at whatever byte")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string heads[] = { "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+                                  "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                  "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+                                  "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n",
+                                  "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n",
+                                  interim + "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n" };
+    Clients clients;
+
+    for (const auto& head : heads)
+    {
+        for (std::size_t size = 0; size < head.size(); ++size)
+        {
+            const auto bytes = head.substr (0, size);
+            CAPTURE (bytes);
+            CHECK_FALSE (clients.request (bytes).ok());
+
+            for (const auto* method : { "GET", "HEAD" })
+                CHECK (errorOf (clients.call (bytes, true, method)) == ResponseError::incomplete);
+        }
+    }
+}
+
 TEST_CASE ("responses beyond the limits are discarded")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\n";
@@ -510,7 +536,11 @@
          { std::pair { makeResponse ("HTTP/1.1 200 OK"), true },
            std::pair { makeResponse ("HTTP/1.1 000 X"), false },
            std::pair { makeResponse ("HTTP/1.1 200 OK"), true },
-           std::pair { makeResponse ("HTTP/1.1 200 OK", " fold\r\n"), false } })
+           std::pair { makeResponse ("HTTP/1.1 200 OK", " fold\r\n"), false },
+           std::pair { makeResponse ("HTTP/1.1 200 OK"), true },
+           std::pair { std::string ("HTTP/1.1 200 OK\r\nId: 1\r\n"), false },
+           std::pair { makeResponse ("HTTP/1.1 200 OK"), true },
+           std::pair { std::string ("HTTP/1.1 200"), false } })
     {
         CAPTURE (bytes);
         server.setBytes (bytes);
