Tests: responses that end inside their header section

Six header sections are cut at each byte, on new and used connections, by a close and by a half-close, byte by byte, for GET, POST and HEAD: each answer is a 502 or a 504 or none, and no request that may run once reaches the target twice. A node that is killed while it passes an answer on leaves a whole one or none.

--- a/tests/responses/ResponseScenario.cpp
+++ b/tests/responses/ResponseScenario.cpp
@@ -120,11 +120,21 @@
 
 //==============================================================================
 std::string ResponseScenario::exchange (const std::string& method, const std::string& path)
+{
+    return exchange (
+        method, path, [] {}, Duration::zero());
+}
+
+std::string ResponseScenario::exchange (const std::string& method, const std::string& path,
+                                        const std::function<void()>& action, Duration delay)
 {
     std::string received;
     bool isDone = false;
     asio::co_spawn (m_context, exchangeOne (makeRequest (method, path, true), received, isDone),
                     asio::detached);
+    m_context.restart();
+    m_context.run_for (std::chrono::microseconds (delay.count()));
+    action();
     runUntil ([&isDone] { return isDone; }, 2 * Duration (exchangeTimeout));
     REQUIRE (isDone);
     return received;
@@ -256,9 +266,10 @@
     return value;
 }
 
-bool isOwnAnswer (const std::string& bytes, int status)
+bool isOwnAnswer (const std::string& bytes, int status, bool isHead)
 {
     http::response_parser<http::string_body> parser;
+    parser.skip (isHead);
     parser.eager (true);
     beast::error_code error;
     const auto used = parser.put (asio::buffer (bytes), error);
--- a/tests/responses/ResponseScenario.h
+++ b/tests/responses/ResponseScenario.h
@@ -40,6 +40,10 @@
     */
     std::string exchange (const std::string& method, const std::string& path);
 
+    /** The same; an action is executed some time after the request was sent. */
+    std::string exchange (const std::string& method, const std::string& path,
+                          const std::function<void()>& action, Duration delay);
+
     /** A client's connection to the entry, which it keeps for one request after the other. */
     struct KeptConnection;
 
@@ -103,7 +107,10 @@
     std::uint64_t m_requests = 0;
 };
 
-/** @returns whether a client's bytes are one answer that the system itself made, with this status */
-bool isOwnAnswer (const std::string& bytes, int status);
+/** @param isHead   whether the request was HEAD, so that the answer has no body
+
+    @returns whether a client's bytes are one answer that the system itself made, with this status
+*/
+bool isOwnAnswer (const std::string& bytes, int status, bool isHead = false);
 
 } // namespace plankledge::test
--- a/tests/untrusted/NodeProcess.cpp
+++ b/tests/untrusted/NodeProcess.cpp
@@ -106,11 +106,7 @@
 
 NodeProcess::~NodeProcess()
 {
-    if (m_process <= 0)
-        return;
-
-    ::kill (m_process, SIGKILL);
-    ::waitpid (m_process, nullptr, 0);
+    kill();
 }
 
 void NodeProcess::requestStop()
@@ -129,6 +125,16 @@
     m_process = 0;
 }
 
+void NodeProcess::kill()
+{
+    if (m_process <= 0)
+        return;
+
+    ::kill (m_process, SIGKILL);
+    ::waitpid (m_process, nullptr, 0);
+    m_process = 0;
+}
+
 bool NodeProcess::isRunning()
 {
     if (m_process > 0 && ::waitpid (m_process, nullptr, WNOHANG) == m_process)
--- a/tests/untrusted/NodeProcess.h
+++ b/tests/untrusted/NodeProcess.h
@@ -67,6 +67,9 @@
     /** Asks the process to stop. */
     void requestStop();
 
+    /** Kills the process, and waits until it has ended. */
+    void kill();
+
     /** Asks the process to stop, and waits until it has ended. */
     void stop();
 
--- a/tests/untrusted/StubTarget.cpp
+++ b/tests/untrusted/StubTarget.cpp
@@ -1,9 +1,11 @@
 #include "untrusted/StubTarget.h"
 
 #include <absl/strings/str_replace.h>
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -115,11 +117,17 @@
 
     for (;;)
     {
-        const auto [error, size] = co_await asio::async_write (socket, asio::buffer (bytes), asTuple);
+        const auto error = co_await write (socket, bytes, response.m_isByteByByte);
 
         if (error || response.m_closes)
             co_return false;
 
+        if (response.m_halfCloses)
+        {
+            boost::system::error_code ignored;
+            socket.shutdown (tcp::socket::shutdown_send, ignored);
+        }
+
         if (response.m_repeated.empty())
             co_return true;
 
@@ -128,6 +136,29 @@
     }
 }
 
+asio::awaitable<boost::system::error_code> StubTarget::write (tcp::socket& socket, const std::string& bytes,
+                                                              bool isByteByByte)
+{
+    boost::system::error_code ignored;
+    socket.set_option (tcp::no_delay (isByteByByte), ignored);
+    const auto step = isByteByByte ? 1 : std::max<std::size_t> (1, bytes.size());
+
+    for (std::size_t sent = 0; sent < bytes.size(); sent += step)
+    {
+        const auto [error, size] =
+            co_await asio::async_write (socket, asio::buffer (bytes.data() + sent, step), asTuple);
+
+        if (error)
+            co_return error;
+
+        // Lets the receiver read the byte before the next one.
+        if (isByteByByte)
+            co_await asio::post (m_context, asio::use_awaitable);
+    }
+
+    co_return boost::system::error_code();
+}
+
 asio::awaitable<void> StubTarget::wait (std::chrono::milliseconds duration)
 {
     if (duration <= std::chrono::milliseconds::zero())
--- a/tests/untrusted/StubTarget.h
+++ b/tests/untrusted/StubTarget.h
@@ -20,6 +20,8 @@
     std::string m_bytes {};    /**< each {id} stands for the request's id */
     std::string m_repeated {}; /**< sent after it again and again until the connection ends; empty: nothing */
     bool m_closes = false;     /**< the connection is closed after the bytes */
+    bool m_halfCloses = false; /**< nothing is sent after the bytes, but requests are still read */
+    bool m_isByteByByte = false;                /**< each byte is sent on its own */
     std::chrono::milliseconds m_delay { 0 };    /**< before the bytes */
     std::chrono::milliseconds m_interval { 0 }; /**< between repetitions */
 
@@ -64,6 +66,8 @@
     boost::asio::awaitable<void> serve (Socket socket);
     boost::asio::awaitable<void> sendEndless (Socket& socket, std::string id);
     boost::asio::awaitable<bool> sendRaw (Socket& socket, RawResponse response, std::string id);
+    boost::asio::awaitable<boost::system::error_code> write (Socket& socket, const std::string& bytes,
+                                                             bool isByteByByte);
     boost::asio::awaitable<void> wait (std::chrono::milliseconds duration);
     boost::asio::awaitable<void> announce();
 
