Names that say what is known of leaving targets

A newcomer could take confirmLeaving() for a statement that the target leaves, and mustListAgain() for a question without side effects.

--- a/modules/plankledge_policy/Effects.h
+++ b/modules/plankledge_policy/Effects.h
@@ -243,8 +243,7 @@
 struct PublishMember
 {
     Member m_member;
-    std::optional<TargetIncarnation>
-        m_leavingTarget {}; /**< last incarnation of its target known to be leaving */
+    std::optional<TargetIncarnation> m_leavingTarget {}; /**< the last one of its target to leave */
 
     auto operator<=> (const PublishMember&) const = default;
 
--- a/modules/plankledge_policy/Events.h
+++ b/modules/plankledge_policy/Events.h
@@ -402,10 +402,10 @@
     StorePosition
         m_end {}; /**< end of the records read so far; without an offset: the listing is incomplete */
     std::optional<TargetIncarnation> m_leavingTarget {}; /**< stated by this node's record, if it was read */
-    bool m_isOwnRecordKnown =
-        true; /**< this process has read the newest record of its node, or that there is
-                 none, and none of its calls to the store has failed: a failed one may
-                 mean that the store was away when the record should have been written */
+
+    /** Whether this process has read its node's newest record, or that there is none, with no failed call to
+       the store: a store that fails may have been away when the record should have been written. */
+    bool m_isOwnRecordKnown = true;
 
     auto operator<=> (const MembersRead&) const = default;
 
--- a/modules/plankledge_policy/relay/RelayDecisions.cpp
+++ b/modules/plankledge_policy/relay/RelayDecisions.cpp
@@ -312,7 +312,7 @@
         m_gate.onRestrictionReported (m_turn, { *event.m_leavingTarget, std::nullopt, true });
 
     if (event.m_isOwnRecordKnown)
-        m_gate.confirmLeaving (m_turn);
+        m_gate.onLeavingTargetsKnown (m_turn);
 
     addMembers (event.m_members, event.m_withdrawn, "store");
 
--- a/modules/plankledge_policy/relay/gate/LocalTarget.h
+++ b/modules/plankledge_policy/relay/gate/LocalTarget.h
@@ -53,11 +53,11 @@
     */
     Change onLeavingStated (const TargetIncarnation& incarnation);
 
-    /** Requires a second announcement before a target is served, until confirmLeaving() is called. */
+    /** Requires a second announcement before a target is served, until onLeavingTargetsKnown() is called. */
     void requireSecondAnnouncement() noexcept { m_isSingleAnnouncementEnough = false; }
 
     /** Must be called when all incarnations are known that were leaving when this process started. */
-    void confirmLeaving() noexcept { m_isSingleAnnouncementEnough = true; }
+    void onLeavingTargetsKnown() noexcept { m_isSingleAnnouncementEnough = true; }
 
     /** @returns whether the target was announced recently and is not leaving */
     bool isServing (Time now) const noexcept;
@@ -86,9 +86,9 @@
     std::set<TargetId> m_earlyGone;           /**< targets announced as gone before any other announcement */
     std::set<TargetId> m_pendingGone;         /**< targets that restarted before being announced as gone */
     Time m_lastAnnouncedAt;
-    Time m_currentSince;           /**< when the current incarnation was first announced */
-    bool m_isGoneReceived = false; /**< for the current incarnation */
-    bool m_isSingleAnnouncementEnough = true;
+    Time m_currentSince;                      /**< when the current incarnation was first announced */
+    bool m_isGoneReceived = false;            /**< for the current incarnation */
+    bool m_isSingleAnnouncementEnough = true; /**< to serve a target */
 };
 
 } // namespace plankledge
--- a/modules/plankledge_policy/relay/gate/TargetGate.cpp
+++ b/modules/plankledge_policy/relay/gate/TargetGate.cpp
@@ -658,9 +658,9 @@
     updateOpen (turn);
 }
 
-void TargetGate::confirmLeaving (Turn& turn)
+void TargetGate::onLeavingTargetsKnown (Turn& turn)
 {
-    m_target.confirmLeaving();
+    m_target.onLeavingTargetsKnown();
     updateOpen (turn);
 }
 
--- a/modules/plankledge_policy/relay/gate/TargetGate.h
+++ b/modules/plankledge_policy/relay/gate/TargetGate.h
@@ -88,7 +88,7 @@
 
     /** Must be called when all incarnations of the target that were leaving at the start of this process have
         been reported. Until then the gate opens only after a second announcement. */
-    void confirmLeaving (Turn& turn);
+    void onLeavingTargetsKnown (Turn& turn);
 
     /** The node exits at a time: requests that can't be completed by then are refused, so that their senders
         use other targets. */
--- a/tests/relay/gate/LocalTarget_test.cpp
+++ b/tests/relay/gate/LocalTarget_test.cpp
@@ -172,9 +172,9 @@
         return announced ("a", AnnouncedState::serving, sequence);
     };
 
-    for (const bool isConfirmed : { false, true })
+    for (const bool areLeavingTargetsKnown : { false, true })
     {
-        CAPTURE (isConfirmed);
+        CAPTURE (areLeavingTargetsKnown);
         LocalTarget target (announcementPeriod);
         target.requireSecondAnnouncement();
         target.onAnnounced (serving (5), now);
@@ -185,8 +185,8 @@
         target.onAnnounced (serving (4), now);
         CHECK_FALSE (target.isServing (now));
 
-        if (isConfirmed)
-            target.confirmLeaving();
+        if (areLeavingTargetsKnown)
+            target.onLeavingTargetsKnown();
         else
             target.onAnnounced (serving (6), now);
 
--- a/tests/responses/CutHeads_test.cpp
+++ b/tests/responses/CutHeads_test.cpp
@@ -43,10 +43,10 @@
 };
 
 const End ends[] = {
-    { "closed", { {}, {}, true }, 1, false },
-    { "closed, on a connection that has been used", { {}, {}, true }, 3, true },
-    { "closed by the target for its own bytes only", { {}, {}, false, true }, 5, false },
-    { "byte by byte, then closed", { {}, {}, true, false, true }, 5, true },
+    { "closed", { .m_closes = true }, 1, false },
+    { "closed, on a connection that has been used", { .m_closes = true }, 3, true },
+    { "closed by the target for its own bytes only", { .m_halfCloses = true }, 5, false },
+    { "byte by byte, then closed", { .m_closes = true, .m_isByteByByte = true }, 5, true },
 };
 
 /** @returns whether a client's bytes are an answer of the system that promises nothing, or none */
--- a/tests/untrusted/StubTarget.h
+++ b/tests/untrusted/StubTarget.h
@@ -20,10 +20,10 @@
     std::string m_bytes {};    /**< each {id} stands for the request's id */
     std::string m_repeated {}; /**< sent after it again and again until the connection ends; empty: nothing */
     bool m_closes = false;     /**< the connection is closed after the bytes */
-    bool m_halfCloses = false; /**< nothing is sent after the bytes, but requests are still read */
-    bool m_isByteByByte = false;                /**< each byte is sent on its own */
     std::chrono::milliseconds m_delay { 0 };    /**< before the bytes */
     std::chrono::milliseconds m_interval { 0 }; /**< between repetitions */
+    bool m_halfCloses = false;                  /**< nothing is sent after the bytes, but requests are read */
+    bool m_isByteByByte = false;                /**< each byte is sent on its own */
 
     auto operator<=> (const RawResponse&) const = default;
 };
